--- /dev/null
+++ b/alderbridge/__init__.py
@@ -0,0 +1,3 @@
+"""alderbridge: a cluster scheduler that rents the machines it needs."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/alderbridge/cli.py
@@ -0,0 +1,50 @@
+"""Command line: check the files, set up the log, run the controller."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import sys
+from collections.abc import Sequence
+
+from . import __version__
+from .config import DEFAULT_INI, ConfigError, Platform, Tuning, load_platform, load_tuning
+
+_LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def parser() -> argparse.ArgumentParser:
+    result = argparse.ArgumentParser(prog="alderbridge", description="One controller of the alderbridge scheduler.")
+    result.add_argument("--config", metavar="FILE", required=True, help="the platform's settings (JSON)")
+    result.add_argument("--settings", metavar="FILE", help=f"operators' own settings (INI); default: {DEFAULT_INI}")
+    result.add_argument("--check", action="store_true", help="check both files and exit")
+    result.add_argument("--version", action="version", version=f"alderbridge {__version__}")
+    return result
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    args = parser().parse_args(argv)
+    try:
+        platform = load_platform(args.config)
+        tuning = load_tuning(args.settings)
+        level = os.environ.get("LOG_LEVEL", "info")
+        if level not in _LEVELS:
+            raise ConfigError(f"environment: LOG_LEVEL: expected one of {', '.join(_LEVELS)}, got {level!r}")
+    except ConfigError as error:
+        print(f"alderbridge: {error}", file=sys.stderr)
+        return 2
+    if args.check:
+        print(f"{args.config}: good")
+        return 0
+    return _serve(platform, tuning, level)
+
+
+def _serve(platform: Platform, tuning: Tuning, level: str) -> int:
+    import curio  # only here: --help and --check need neither the loop nor its start-up time
+
+    from .controller import Controller
+
+    logging.basicConfig(stream=sys.stderr, level=_LEVELS[level], format=tuning.log_format)
+    curio.run(Controller(platform, tuning).run)
+    return 0
--- /dev/null
+++ b/alderbridge/constants.py
@@ -0,0 +1,71 @@
+"""Every constant of the service, each with its unit and its reason.
+
+Values that the settings or ``/flavors`` give are derived where they are used.
+"Ours" marks a default the design leaves open; the INI file may change those
+listed in ``config.Tuning``.
+"""
+
+# --- time and safety -------------------------------------------------------
+CLOCK_DRIFT = 0.0005  # share; PROTOCOL: steady clocks drift apart by up to 0.05%
+PROOF_MARGIN_S = 1.0  # s; timers go off late by a few steps, and a share of a core is slow
+HOLD_TTL_S = 12.0  # s; longer than a usual store outage, shorter than a worker's lease
+HOLD_MARGIN_S = 0.5  # s; a member stops this long before its hold could end
+HOLD_RENEWALS = 6  # renewals per ttl; several may fail before the hold lapses
+CANCEL_SLACK_S = 4.0  # s; kept between ttl + worker lease and cancel_s
+PREDECESSOR_S = 1.0  # s; lower labels get this head start in taking the lead
+
+# --- rounds ----------------------------------------------------------------
+ROUND_S = 0.2  # s; placement and mesh round: far below a worker's report interval
+LEADER_ROUND_S = 1.0  # s; renting decisions; DESIGN: one cloud call a second
+FOLLOW_PAUSE_S = 0.1  # s; pause between follow calls: bounds requests at busy times
+FOLLOW_WAIT_S = 8.0  # s; one long poll of the store
+WRITER_PAUSE_S = 0.02  # s; gathers the records of one round into one transaction
+PROGRESS_S = 0.8  # s; done ranges of a running job are written at most this often
+MARK_AHEAD = 256  # tasks; written as possibly started with the job, saves a write per start
+QUEUE_ROWS = 400  # jobs; waiting jobs one home tells of in a round
+
+TAKE_TRIES = 20  # looks; a beat's answer waits this often for grants it has asked for
+TAKE_PAUSE_S = 0.005  # s; between these looks: a question to a peer takes a few ms
+
+# --- network ---------------------------------------------------------------
+MAX_BODY = 64 * 1024  # bytes; PROTOCOL's limit for request bodies
+MAX_FRAME = 4 * 1024 * 1024  # bytes; one mesh message, far above any real one
+IDLE_S = 75.0  # s; a keep-alive connection without a request is closed
+REQUEST_S = 5.0  # s; time to finish sending a request that has begun
+SOCKET_RESERVE = 0.8  # share of max_sockets that may be accepted connections
+ASK_S = 1.2  # s; a question to another controller, users wait 2 s for a status
+STATE_TIMEOUT_S = 2.0  # s; store calls usually take 10 ms, now and then some hundreds
+CLOUD_TIMEOUT_S = 5.0  # s; cloud calls take some hundred ms
+CONNECT_S = 1.0  # s; a connect that hangs longer meets a cut
+MESH_RETRY_S = 0.5  # s; between attempts to reach another controller
+MESH_RESEND_S = 0.6  # s; unacknowledged messages are sent again
+MESH_SILENCE_S = 3.0  # s; a mesh connection without traffic is closed and renewed
+MESH_BACKLOG = 5000  # messages; more than this unacknowledged closes the connection
+RETRY_AFTER_S = 2  # s; told to users when the service can't take a request
+SUBMIT_WAIT_S = 3.5  # s; users give a submission up after 5 s
+BUDGET_SHARE = 0.9  # share of a stated rate that all controllers together use
+
+# --- jobs ------------------------------------------------------------------
+MAX_PARTS = 100_000  # tasks; PROTOCOL's limit for one job
+ERROR_PAUSE_S = 2.0  # s; first pause of a task whose last run failed; doubles
+ERROR_PAUSE_MAX_S = 30.0  # s; longest such pause
+FAULTY_ERRORS = 3  # errors in a row, of two jobs or more, that set a machine aside
+FAULTY_S = 120.0  # s; a machine set aside is tried again after this
+
+# --- policy (the paper's names; "ours" where the design says so) -----------
+TARGET_RATIO = 0.5  # Maximum Queue Time / requested time; the paper's choice in 5.2
+WORKLOAD_MULTIPLIER = 1.0  # Expected Run Time / requested time; the paper's 5.3
+QUEUE_TIME_FLOOR_S = 120.0  # s; ours, the paper has 300
+BID_SHARE = 0.9  # of the retail price; the paper's conclusion: close to retail
+HARD_CHECK_S = 15.0  # s; ours, the paper has 60
+HARD_MARGIN_S = 15.0  # s; ours, added to the boot time
+PAID_BLOCK_S = 60.0  # s; PROTOCOL: a deleted machine costs at least this
+MAX_MACHINES = 64  # machines; ours, capacity is not published
+RENT_BATCH = 8  # machines; at most this many in one rental request
+REFUSED_PAUSE_S = 10.0  # s; a kind that was refused is left alone this long
+BOOT_PATIENCE = 3.0  # times ready_s until a machine that has not come up is returned
+LOST_S = 60.0  # s; a machine silent this long, its lease lapsed, is returned
+SERVICE_RUN_S = 3600.0  # s; Expected Run Time of a service, whose estimate is 0
+UNKNOWN_RUN_S = 30.0  # s; Expected Run Time of an array with an estimate of 0
+FLAVOURS_S = 30.0  # s; spot prices are read again after this
+LIST_S = 5.0  # s; pause between two readings of the lagging machine list
--- /dev/null
+++ b/alderbridge/jobs.py
@@ -0,0 +1,511 @@
+"""Jobs at their home: the record, the states of tasks, done ranges, grants.
+
+A task of an active job is in exactly one state:
+
+* WAITING: on no machine; it may be granted.
+* GRANTED, FETCHING, RUNNING, SAVING: on the machine of its ``Run``.
+* UNKNOWN: inherited, at or below the recorded mark; it may be on any recorded
+  machine until each has acknowledged the mandate or has provably lapsed.
+* DONE: completed.
+
+Each change of state is one method of ``Job``. Nothing here does I/O: messages
+leave through ``send``, records are collected by ``due_writes``.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import math
+from bisect import bisect_right
+from collections.abc import Callable, Iterable, Iterator
+from enum import Enum
+
+import msgspec
+
+from . import constants as c
+from .config import Team
+from .mesh import Clear, Grant, Halt, Message, QueueRow, Seen, SeenTask, Take
+from .wire import JobSpec
+
+log = logging.getLogger("jobs")
+
+
+class JobState(str, Enum):
+    ACTIVE = "active"
+    DONE = "done"
+    ABORTED = "aborted"
+
+
+class TaskState(str, Enum):
+    WAITING = "waiting"
+    GRANTED = "granted"
+    FETCHING = "fetching"
+    RUNNING = "running"
+    SAVING = "saving"
+    UNKNOWN = "unknown"
+    DONE = "done"
+
+
+_LIVE = {"fetching": TaskState.FETCHING, "waiting": TaskState.FETCHING, "running": TaskState.RUNNING,
+         "saving": TaskState.SAVING}
+
+
+class Record(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the store keeps of a job. Ended ones lose all but their state."""
+
+    state: JobState
+    home: str = ""
+    at: float = 0.0  # time of day of the submission
+    mark: int = 0  # tasks below this may have been started
+    done: list[tuple[int, int]] = []
+    spec: JobSpec | None = None
+
+
+class Ranges:
+    """A set of whole numbers as sorted half-open ranges."""
+
+    def __init__(self, ranges: Iterable[tuple[int, int]] = ()) -> None:
+        self.ranges = [(a, b) for a, b in ranges]
+        self.count = sum(b - a for a, b in self.ranges)
+
+    def __contains__(self, number: int) -> bool:
+        at = bisect_right(self.ranges, (number, math.inf)) - 1
+        return at >= 0 and self.ranges[at][0] <= number < self.ranges[at][1]
+
+    def add(self, number: int) -> bool:
+        if number in self:
+            return False
+        at = bisect_right(self.ranges, (number, math.inf))
+        low, high = number, number + 1
+        if at < len(self.ranges) and self.ranges[at][0] == high:
+            high = self.ranges.pop(at)[1]
+        if at > 0 and self.ranges[at - 1][1] == number:
+            at -= 1
+            low = self.ranges.pop(at)[0]
+        self.ranges.insert(at, (low, high))
+        self.count += 1
+        return True
+
+    def fitted(self, room: int) -> list[tuple[int, int]]:
+        """The ranges that fit ``room`` bytes, the smallest dropped, never rounded up."""
+        size, kept = 2, []
+        for low, high in sorted(self.ranges, key=lambda r: r[0] - r[1]):
+            size += len(str(low)) + len(str(high)) + 4
+            if size > room:
+                break
+            kept.append((low, high))
+        return sorted(kept)
+
+
+class Run(msgspec.Struct):
+    """A task on a machine, or on its way there."""
+
+    machine: str
+    zone: str
+    attempt: int
+    seq: int  # of the grant, in the channel to the machine's part
+    state: TaskState
+    since: float
+
+
+class Job:
+    def __init__(self, record: Record, stamp: int, now: float, age_s: float, fresh: bool = False) -> None:
+        """``fresh``: accepted here just now, so nothing below the mark was started yet."""
+        assert record.spec is not None
+        self.spec = record.spec
+        self.home_label = record.home
+        self.at = record.at
+        self.arrived = now - age_s
+        self.state = record.state
+        self.stored_state = record.state
+        self.stamp = stamp
+        self.mark = record.mark  # as the store has it
+        self.mark_wanted = record.mark
+        self.done = Ranges(record.done)
+        self.unknown = set() if fresh else {i for i in range(record.mark) if i not in self.done}
+        self.next = 0 if fresh else record.mark  # from here on, nothing was ever granted
+        self.again: list[int] = []  # heap of tasks below ``next`` that wait
+        self.runs: dict[int, Run] = {}
+        self.errors = 0
+        self.paused_until = 0.0
+        self.changed_at: float | None = None  # since when the record lags behind
+        self.to_clear: dict[tuple[str, int, int], None] = {}  # told once the record is written
+        self.full = True  # the stored record still holds the spec
+        self.last_write = now
+
+    # -- questions ---------------------------------------------------------
+
+    @property
+    def waiting(self) -> int:
+        if self.state is not JobState.ACTIVE:
+            return 0
+        return self.spec.tasks - self.next + len(self.again)
+
+    @property
+    def on_machines(self) -> int:
+        return len(self.runs) + len(self.unknown)
+
+    @property
+    def running(self) -> int:
+        return sum(run.state is TaskState.RUNNING for run in self.runs.values())
+
+    @property
+    def drained(self) -> bool:
+        return self.stored_state is not JobState.ACTIVE and not self.full and not self.to_clear
+
+    def state_of(self, index: int) -> TaskState:
+        if index in self.done:
+            return TaskState.DONE
+        if index in self.runs:
+            return self.runs[index].state
+        return TaskState.UNKNOWN if index in self.unknown else TaskState.WAITING
+
+    def allowed_zone(self) -> tuple[bool, str | None]:
+        """Whether anything may be granted, and the only zone where."""
+        if not self.spec.one_zone or self.spec.zone is not None:
+            return True, self.spec.zone
+        if self.unknown:
+            return False, None
+        zones = {run.zone for run in self.runs.values()}
+        return True, next(iter(zones), None)
+
+    def room_in(self, zone: str) -> int:
+        """How many more tasks may be in that zone now."""
+        fits, only = self.allowed_zone()
+        if not fits or (only is not None and only != zone):
+            return 0
+        if not self.spec.spread:
+            return self.spec.tasks
+        here = sum(run.zone == zone for run in self.runs.values()) + len(self.unknown)
+        return max(0, math.ceil(self.spec.tasks / 2) - here)
+
+    # -- changes of state, one method each ---------------------------------
+
+    def grant(self, index: int, run: Run) -> None:
+        self.runs[index] = run
+
+    def adopt(self, index: int, run: Run) -> None:
+        """A report shows a task that was not known to be on a machine."""
+        self.unknown.discard(index)
+        self.next = max(self.next, index + 1)
+        if index in self.again:
+            self.again.remove(index)
+            heapq.heapify(self.again)
+        self.runs[index] = run
+
+    def progress(self, index: int, state: TaskState) -> None:
+        self.runs[index].state = state
+
+    def free(self, index: int) -> None:
+        """Proof that the task is on no machine: it waits again."""
+        self.runs.pop(index, None)
+        self.unknown.discard(index)
+        if self.state is JobState.ACTIVE and index not in self.done:
+            heapq.heappush(self.again, index)
+
+    def finish(self, index: int, now: float) -> None:
+        self.runs.pop(index, None)
+        self.unknown.discard(index)
+        if self.state is not JobState.ACTIVE:
+            return
+        if index in self.again:
+            self.again.remove(index)
+            heapq.heapify(self.again)
+        self.done.add(index)
+        self.errors = 0
+        self.touch(now)
+        if self.done.count >= self.spec.tasks:
+            self.state = JobState.DONE
+            log.info("job=%s state=done cause=last task", self.spec.id)
+
+    def fail(self, index: int, now: float) -> None:
+        """The task ended with an error: it waits, and the job pauses a little longer each time."""
+        self.free(index)
+        pause = min(c.ERROR_PAUSE_MAX_S, c.ERROR_PAUSE_S * 2 ** min(10, self.errors // max(1, self.spec.tasks)))
+        self.errors += 1
+        self.paused_until = max(self.paused_until, now + pause) if self.errors > c.FAULTY_ERRORS else 0.0
+
+    def abort(self, now: float) -> None:
+        if self.state is JobState.ACTIVE:
+            self.state = JobState.ABORTED
+            self.again.clear()
+            self.touch(now)
+            log.info("job=%s state=aborted cause=withdrawn", self.spec.id)
+
+    def touch(self, now: float) -> None:
+        if self.changed_at is None:
+            self.changed_at = now
+
+    def pick(self, now: float) -> int | None:
+        """The next task to grant: lowest first, never beyond the stored mark."""
+        if self.state is not JobState.ACTIVE or now < self.paused_until:
+            return None
+        while self.again:
+            index = heapq.heappop(self.again)
+            if index not in self.done and index not in self.runs:
+                return index
+        while self.next < min(self.mark, self.spec.tasks):
+            self.next += 1
+            if self.state_of(self.next - 1) is TaskState.WAITING:
+                return self.next - 1
+        return None
+
+    # -- the record --------------------------------------------------------
+
+    def record(self, value_bytes: int) -> Record:
+        if self.state is not JobState.ACTIVE and not self.runs and not self.unknown:
+            return Record(self.state)
+        bare = Record(self.state, self.home_label, self.at, self.mark_wanted, [], self.spec)
+        room = value_bytes - len(msgspec.json.encode(bare)) - 16
+        return Record(self.state, self.home_label, self.at, self.mark_wanted, self.done.fitted(room), self.spec)
+
+
+class Usage:
+    """What each team's tasks take, here, against the leader's allowance."""
+
+    def __init__(self, teams: Iterable[Team]) -> None:
+        self.teams = {team.name: team for team in teams}
+        self.allowed: dict[str, tuple[float, float]] = {}
+
+    def limited(self, team: str) -> bool:
+        limit = self.teams.get(team)
+        return limit is not None and (limit.cpus_max > 0 or limit.gpus_max > 0)
+
+    def room(self, team: str, used: tuple[float, float], spec: JobSpec) -> int:
+        """How many more tasks of ``spec`` the team may start here."""
+        if not self.limited(team):
+            return spec.tasks
+        limit, allowed = self.teams[team], self.allowed.get(team, (0.0, 0.0))
+        rooms = []
+        for cap, have, taken, each in ((limit.cpus_max, allowed[0], used[0], spec.cpus),
+                                       (limit.gpus_max, allowed[1], used[1], spec.gpus)):
+            if cap > 0 and each > 0:
+                rooms.append(math.floor((have - taken) / each + 1e-9))
+        return max(0, min(rooms, default=spec.tasks))
+
+
+Send = Callable[[str, Message], int]
+
+
+class Home:
+    """The jobs this controller is home to."""
+
+    def __init__(self, teams: Iterable[Team], send: Send, value_bytes: int) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.usage = Usage(teams)
+        self.send = send  # (label, message) -> number of the message in its channel
+        self.value_bytes = value_bytes
+        self.part_of: Callable[[str], str] = lambda machine: ""
+        self.attempts = 0
+        self.mandate = 0
+        self.barrier: set[str] = set()  # machines that inherited tasks may still be on
+        self.allots = 0
+
+    # -- view and inheritance ----------------------------------------------
+
+    def enter(self, mandate: int, jobs: dict[str, Job], machines: Iterable[str]) -> None:
+        """A new view: ``jobs`` is all this home serves, ``machines`` all recorded ones.
+
+        Runs are kept; what their machine's part may have lost is settled when the
+        machine acknowledges the new mandate.
+        """
+        self.mandate = mandate
+        self.attempts = 0
+        self.jobs = jobs
+        self.barrier = set(machines)
+        self.usage.allowed = {}
+        self.allots = 0
+        for job in jobs.values():
+            for run in job.runs.values():
+                run.seq = 0
+        if not self.barrier:
+            self._lift()
+
+    def _lift(self) -> None:
+        """No recorded machine is left that could hold an unknown task."""
+        for job in self.jobs.values():
+            for index in list(job.unknown):
+                job.free(index)
+
+    def used(self) -> dict[str, tuple[float, float]]:
+        result: dict[str, tuple[float, float]] = {}
+        for job in self.jobs.values():
+            count = job.on_machines
+            if count:
+                cpus, gpus = result.get(job.spec.team, (0.0, 0.0))
+                result[job.spec.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
+        return result
+
+    def held(self) -> dict[str, tuple[float, float]]:
+        """Per team, the larger of what is used and what is allowed."""
+        result = self.used()
+        for team, (cpus, gpus) in self.usage.allowed.items():
+            used = result.get(team, (0.0, 0.0))
+            result[team] = (max(cpus, used[0]), max(gpus, used[1]))
+        return {team: held for team, held in result.items() if self.usage.limited(team)}
+
+    def want(self) -> dict[str, tuple[float, float]]:
+        """Per team with a limit, what all its tasks here would take."""
+        result: dict[str, tuple[float, float]] = {}
+        for job in self.jobs.values():
+            count = job.on_machines + job.waiting
+            if count and self.usage.limited(job.spec.team):
+                cpus, gpus = result.get(job.spec.team, (0.0, 0.0))
+                result[job.spec.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
+        return result
+
+    def allot(self, teams: dict[str, tuple[float, float]]) -> None:
+        self.usage.allowed = dict(teams)
+        self.allots += 1
+
+    # -- queue and grants --------------------------------------------------
+
+    def rows(self, now: float, queue_time: Callable[[JobSpec], float], run_time: Callable[[JobSpec], float]
+             ) -> list[QueueRow]:
+        used = self.used()
+        owed: dict[str, float] = {}
+        rows = []
+        for job in sorted(self.jobs.values(), key=lambda j: j.arrived):
+            spec = job.spec
+            owed[spec.team] = owed.get(spec.team, 0.0) + (spec.tasks - job.done.count) * spec.cpus
+            if not job.waiting or now < job.paused_until:
+                continue
+            fits, zone = job.allowed_zone()
+            offer = min(job.waiting, self.usage.room(spec.team, used.get(spec.team, (0.0, 0.0)), spec))
+            ready = len(job.again) + max(0, min(job.mark, spec.tasks) - job.next)
+            if ready < offer:
+                self.want_mark(job, offer, now)
+                offer = ready
+            team = self.usage.teams.get(spec.team)
+            guaranteed = team is not None and team.cpus > 0 and owed[spec.team] <= team.cpus
+            rows.append(QueueRow(spec.id, job.waiting, offer if fits else 0,
+                                 job.arrived + queue_time(spec) - now, run_time(spec), zone,
+                                 now - job.arrived, guaranteed))
+        rows.sort(key=lambda row: row.due_in_s)
+        return rows[:c.QUEUE_ROWS]
+
+    def want_mark(self, job: Job, count: int, now: float) -> None:
+        mark = min(job.spec.tasks, job.next + count + c.MARK_AHEAD)
+        if mark > job.mark_wanted:
+            job.mark_wanted = mark
+            job.touch(now)
+
+    def on_take(self, label: str, take: Take, now: float, entitled: bool) -> None:
+        job = self.jobs.get(take.job)
+        tasks: list[tuple[int, int]] = []
+        if job is not None and entitled:
+            count = min(take.count, job.room_in(take.zone), self._team_room(job))
+            runs = []
+            while len(tasks) < count:
+                index = job.pick(now)
+                if index is None:
+                    break
+                self.attempts += 1
+                attempt = (self.mandate << 24) + self.attempts
+                run = Run(take.machine, take.zone, attempt, 0, TaskState.GRANTED, now)
+                job.grant(index, run)
+                runs.append(run)
+                tasks.append((index, attempt))
+            seq = self.send(label, Grant(take.take, take.job, take.machine, tasks))
+            for run in runs:
+                run.seq = seq
+            return
+        self.send(label, Grant(take.take, take.job, take.machine, tasks))
+
+    def _team_room(self, job: Job) -> int:
+        if not self.usage.limited(job.spec.team):
+            return job.spec.tasks
+        return self.usage.room(job.spec.team, self.used().get(job.spec.team, (0.0, 0.0)), job.spec)
+
+    # -- reports -----------------------------------------------------------
+
+    def on_seen(self, label: str, seen: Seen, now: float) -> None:
+        """A part's proof of what is, and what is not, on one machine."""
+        present = set()
+        for task in seen.tasks:
+            present.add((task.job, task.index))
+            self._seen_task(label, seen, task, now)
+        present.update((job, index) for job, index, _ in seen.held)
+        for job in self.jobs.values():
+            for index, run in list(job.runs.items()):
+                if run.machine == seen.machine and (job.spec.id, index) not in present and run.seq <= seen.upto:
+                    job.free(index)
+        if seen.machine in self.barrier:
+            self.barrier.discard(seen.machine)
+            if not self.barrier:
+                log.info("barrier state=lifted mandate=%d", self.mandate)
+                self._lift()
+
+    def _seen_task(self, label: str, seen: Seen, task: SeenTask, now: float) -> None:
+        job = self.jobs.get(task.job)
+        ended = task.status == "ended"
+        run = job.runs.get(task.index) if job else None
+        ours = run is not None and run.machine == seen.machine and run.attempt == task.attempt
+        if ended:
+            if job is not None and task.cause == "done" and not job.spec.service and job.state is JobState.ACTIVE:
+                # A result counts whichever attempt brought it, and whatever else is known of the task.
+                if (run is None or ours) and (task.index not in job.done or job.changed_at is not None):
+                    job.finish(task.index, now)
+                    job.to_clear[(seen.machine, task.index, task.attempt)] = None
+                    return
+            elif ours and job is not None:
+                if task.cause == "error":
+                    job.fail(task.index, now)
+                else:
+                    job.free(task.index)
+            self.send(label, Clear(seen.machine, task.job, task.index, task.attempt))
+            return
+        wanted = job is not None and job.state is JobState.ACTIVE and task.index not in job.done
+        if job is not None and run is None and task.index not in job.done:
+            job.adopt(task.index, self._run(seen, task, now))
+        elif job is not None and ours:
+            job.progress(task.index, _LIVE.get(task.status, TaskState.RUNNING))
+        else:
+            wanted = False
+        if not wanted:
+            self.send(label, Halt(seen.machine, task.job, task.index, task.attempt, 0.0))
+
+    @staticmethod
+    def _run(seen: Seen, task: SeenTask, now: float) -> Run:
+        return Run(seen.machine, seen.zone, task.attempt, 0, _LIVE.get(task.status, TaskState.RUNNING), now)
+
+    # -- users -------------------------------------------------------------
+
+    def halt_all(self, job: Job) -> None:
+        """The store holds the withdrawal: stop what runs."""
+        for index, run in job.runs.items():
+            self.send(self.part_of(run.machine), Halt(run.machine, job.spec.id, index, run.attempt, 0.0))
+
+    # -- records -----------------------------------------------------------
+
+    def due_writes(self, now: float) -> Iterator[tuple[float, Job]]:
+        """Jobs whose record lags, most urgent first: ends, then marks, then progress."""
+        for job in self.jobs.values():
+            if job.full and job.stored_state is not JobState.ACTIVE and not job.on_machines:
+                yield (3.0, job)  # nothing of it is left: its record shrinks
+            elif job.changed_at is not None:
+                if job.state is not job.stored_state:
+                    yield (0.0, job)
+                elif job.mark_wanted > job.mark:
+                    yield (1.0, job)
+                elif now - job.last_write >= c.PROGRESS_S:
+                    yield (2.0 + job.last_write * 1e-9, job)
+
+    def written(self, job: Job, record: Record, stamp: int, cleared: list[tuple[str, int, int]], now: float) -> None:
+        """The store holds ``record``, which counts the results in ``cleared``."""
+        job.stamp = stamp
+        job.last_write = now
+        job.mark = max(job.mark, record.mark)
+        if record.state is not JobState.ACTIVE and job.stored_state is JobState.ACTIVE:
+            job.stored_state = record.state
+            if record.state is JobState.ABORTED:
+                self.halt_all(job)
+        job.full = record.spec is not None
+        for key in cleared:
+            machine, index, attempt = key
+            job.to_clear.pop(key, None)
+            self.send(self.part_of(machine), Clear(machine, job.spec.id, index, attempt))
+        job.changed_at = now if job.to_clear or job.state is not job.stored_state else None
+        if job.mark_wanted > job.mark:
+            job.touch(now)
--- /dev/null
+++ b/alderbridge/leader.py
@@ -0,0 +1,273 @@
+"""What the leader knows of machines, queues and allowances, and what it decides.
+
+States of a rented machine:
+
+* BOOTING: rented or listed, its worker has not reported.
+* UP: its part reports it.
+* LEAVING: wanted back; its part has been told and places nothing on it.
+* RETURNED: the cloud has confirmed its end.
+
+Pure: the controller carries the decisions out.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from enum import Enum
+
+from . import constants as c
+from . import policy
+from .config import Team, Tuning
+from .mesh import Queue, Room, RoomRow
+from .policy import Demand, Kind, Market, Resource
+from .replica import Replica
+from .wire import Listed, MachineType
+
+log = logging.getLogger("leader")
+
+
+class RentalState(str, Enum):
+    BOOTING = "booting"
+    UP = "up"
+    LEAVING = "leaving"
+    RETURNED = "returned"
+
+
+@dataclass
+class Rental:
+    kind: Kind
+    rented_at: float
+    state: RentalState
+    leaving_since: float = 0.0
+    failed: bool = False
+    listed_at: float | None = None
+
+
+@dataclass
+class Decision:
+    rent: list[tuple[Kind, int]] = field(default_factory=list)
+    drain: list[str] = field(default_factory=list)
+    give_back: list[str] = field(default_factory=list)
+
+
+class Leader:
+    def __init__(self, teams: list[Team], zones: list[str], tuning: Tuning, replica: Replica, lag_s: float) -> None:
+        self.teams = [team for team in teams if team.cpus_max > 0 or team.gpus_max > 0]
+        self.tuning = tuning
+        self.replica = replica
+        self.lag_s = lag_s
+        self.market = Market({}, zones, tuning.bid_share)
+        self.rentals: dict[str, Rental] = {}
+        self.enter([], 0.0)
+
+    def enter(self, members: list[str], now: float) -> None:
+        self.members = members
+        self.since = now
+        self.queues: dict[str, tuple[Queue, float]] = {}
+        self.rooms: dict[str, tuple[Room, float]] = {}
+        self.given: dict[str, dict[str, tuple[float, float]]] = {label: {} for label in members}
+        self.sent: dict[str, int] = dict.fromkeys(members, 0)
+        self.hard_at = now
+        self.listed = False
+        for name in [n for n, r in self.rentals.items() if r.state is RentalState.RETURNED]:
+            del self.rentals[name]
+
+    # -- news ----------------------------------------------------------------
+
+    def on_queue(self, label: str, queue: Queue, now: float) -> None:
+        if label in self.given:
+            self.queues[label] = (queue, now)
+
+    def on_room(self, label: str, room: Room, now: float) -> None:
+        if label not in self.given:
+            return
+        self.rooms[label] = (room, now)
+        for row in room.rows:
+            rental = self.rentals.get(row.machine)
+            if rental is None and row.type:
+                rental = self._found(row.machine, Kind(row.type, row.zone, row.spot), now, RentalState.UP)
+            if rental is not None and rental.state is RentalState.BOOTING and row.state != "expected":
+                rental.state = RentalState.UP
+
+    def _found(self, name: str, kind: Kind, rented_at: float, state: RentalState) -> Rental:
+        rental = self.rentals[name] = Rental(kind, rented_at, state)
+        log.info("machine=%s state=%s type=%s spot=%s", name, state.value, kind.type, kind.spot)
+        return rental
+
+    def on_rented(self, kind: Kind, names: list[str], now: float) -> None:
+        for name in names:
+            if name not in self.rentals:
+                self._found(name, kind, now, RentalState.BOOTING)
+
+    def on_refused(self, kind: Kind, now: float) -> None:
+        self.market.refused_until[kind] = now + c.REFUSED_PAUSE_S
+
+    def on_listing(self, hosts: list[Listed], now: float) -> None:
+        self.listed = True
+        for host in hosts:
+            rental = self.rentals.get(host.id)
+            if rental is None:
+                rental = self._found(host.id, Kind(host.type, host.zone, host.spot), now - host.held_s,
+                                     RentalState.BOOTING)
+            rental.listed_at = now
+            rental.rented_at = min(rental.rented_at, now - host.held_s)
+            rental.failed = rental.failed or host.status == "failed"
+
+    def on_types(self, types: dict[str, MachineType]) -> None:
+        self.market.types = types
+
+    def on_returned(self, names: list[str]) -> None:
+        for name in names:
+            if name in self.rentals:
+                self.rentals[name].state = RentalState.RETURNED
+
+    # -- decisions -------------------------------------------------------------
+
+    def ready(self, now: float) -> bool:
+        """Every member has reported under this view, and the cloud has been asked."""
+        return (bool(self.market.types) and all(m in self.queues and m in self.rooms for m in self.members)
+                and (self.listed or now - self.since > 2 * self.lag_s))
+
+    def demands(self, now: float) -> list[Demand]:
+        result = []
+        for queue, at in self.queues.values():
+            for row in queue.rows:
+                spec = self.replica.spec(row.job)
+                if spec is not None:
+                    result.append(Demand(spec, row.waiting, row.due_in_s - (now - at), row.run_s, row.zone))
+        result.sort(key=lambda demand: demand.due_in_s)
+        return self._within_limits(result)
+
+    def _within_limits(self, demands: list[Demand]) -> list[Demand]:
+        """A team's tasks beyond its limit cannot run at once: they ask for nothing."""
+        limits = {team.name: team.cpus_max for team in self.teams if team.cpus_max > 0}
+        left = dict(limits)
+        for queue, _ in self.queues.values():
+            for team, (want, _) in queue.want.items():
+                if team in left:
+                    left[team] -= want
+        # ``want`` counts what waits as well: give that back, soonest deadline first.
+        for demand in demands:
+            if demand.spec.team in left:
+                left[demand.spec.team] += demand.count * demand.spec.cpus
+        result = []
+        for demand in demands:
+            team = demand.spec.team
+            count = demand.count
+            if team in left:
+                count = min(count, max(0, int(left[team] / demand.spec.cpus + 1e-9)))
+                left[team] -= count * demand.spec.cpus
+            if count:
+                result.append(Demand(demand.spec, count, demand.due_in_s, demand.run_s, demand.zone))
+        return result
+
+    def _rows(self) -> dict[str, tuple[RoomRow, float]]:
+        return {row.machine: (row, at) for room, at in self.rooms.values() for row in room.rows}
+
+    def decide(self, now: float) -> Decision:
+        decision = Decision()
+        if not self.ready(now):
+            return decision
+        rows = self._rows()
+        queue = self.demands(now)
+        resources: list[Resource] = []
+        booting: list[Resource] = []
+        idle: list[tuple[int, str]] = []
+        alive = 0
+        for name, rental in self.rentals.items():
+            if rental.state is RentalState.RETURNED:
+                continue
+            alive += 1
+            row, at = rows.get(name, (None, now))
+            if row is not None:
+                self._up(name, rental, row, at, now, decision, resources, idle)
+            else:
+                self._booting(name, rental, now, decision, resources, booting)
+        for index, name in idle:
+            rental = self.rentals[name]
+            if (policy.block_ends(now - rental.rented_at, 2 * c.LEADER_ROUND_S)
+                    and not policy.keep_idle(index, resources, queue)):
+                self.leave(name, now, decision, "idle at the end of its block")
+                resources[index].free = (0.0, 0.0, 0.0)
+        below_cap = self.tuning.max_machines - alive
+        wanted = policy.machines_wanted(resources, queue, self.market, now, min(below_cap, c.RENT_BATCH))
+        if now - self.hard_at >= c.HARD_CHECK_S:
+            self.hard_at = now
+            hard = policy.hard_check(queue, self.market, now, booting, below_cap)
+            wanted += hard[len(wanted):]
+        counts: dict[Kind, int] = {}
+        for kind in wanted:
+            counts[kind] = counts.get(kind, 0) + 1
+        decision.rent = [(kind, min(count, c.RENT_BATCH)) for kind, count in counts.items()]
+        return decision
+
+    def _up(self, name: str, rental: Rental, row: RoomRow, at: float, now: float, decision: Decision,
+            resources: list[Resource], idle: list[tuple[int, str]]) -> None:
+        silent = row.silent_s + (now - at)
+        fresh = now - at < 3 * c.LEADER_ROUND_S
+        if rental.failed or (row.state == "lapsed" and silent > c.LOST_S):
+            self.leave(name, now, decision, "failed" if rental.failed else "lost")
+            decision.give_back.append(name)
+        elif row.state == "draining":
+            if fresh and (row.idle_s > 0 and not row.ends or silent > 2 * c.HARD_MARGIN_S):
+                decision.give_back.append(name)
+            elif rental.state is not RentalState.LEAVING:
+                rental.state = RentalState.LEAVING
+        elif rental.state is RentalState.LEAVING:
+            decision.drain.append(name)  # its part has not said so yet
+        elif row.state == "up":
+            resources.append(Resource(rental.kind, row.free, row.ends))
+            if row.idle_s > 0 and fresh and not row.ends:
+                idle.append((len(resources) - 1, name))
+        elif row.state == "expected" and rental.kind.type in self.market.types:
+            resources.append(Resource(rental.kind, self.market.room(rental.kind)))
+
+    def _booting(self, name: str, rental: Rental, now: float, decision: Decision,
+                 resources: list[Resource], booting: list[Resource]) -> None:
+        kind = self.market.types.get(rental.kind.type)
+        if kind is None:
+            return
+        age = now - rental.rented_at
+        if rental.state is RentalState.LEAVING:
+            if now - rental.leaving_since > c.LEADER_ROUND_S:
+                decision.give_back.append(name)
+        elif rental.failed or age > max(c.BOOT_PATIENCE * kind.boot_s, now - self.since and 2 * self.lag_s):
+            self.leave(name, now, decision, "failed" if rental.failed else "did not come up")
+        else:
+            resource = Resource(rental.kind, self.market.room(rental.kind))
+            resources.append(resource)
+            if age < 1.5 * kind.boot_s:
+                booting.append(resource)
+
+    def leave(self, name: str, now: float, decision: Decision, cause: str) -> None:
+        rental = self.rentals[name]
+        if rental.state is not RentalState.LEAVING:
+            rental.state = RentalState.LEAVING
+            rental.leaving_since = now
+            log.info("machine=%s state=leaving cause=%s", name, cause)
+        decision.drain.append(name)
+
+    def allots(self) -> dict[str, dict[str, tuple[float, float]]]:
+        """New allowances; each home gets its next one only after it confirmed the last."""
+        if not self.teams or any(label not in self.queues for label in self.members):
+            return {}
+        if any(self.queues[label][0].allots != self.sent[label] for label in self.members):
+            return {}
+        fresh: dict[str, dict[str, tuple[float, float]]] = {label: {} for label in self.members}
+        for team in self.teams:
+            for part, limit in enumerate((team.cpus_max, team.gpus_max)):
+                none = (0.0, 0.0)
+                held = {m: self.queues[m][0].held.get(team.name, none)[part] for m in self.members}
+                want = {m: self.queues[m][0].want.get(team.name, none)[part] for m in self.members}
+                given = {m: self.given[m].get(team.name, none)[part] for m in self.members}
+                shares = policy.divide(limit, held, given, want) if limit > 0 else given
+                for label in self.members:
+                    old = fresh[label].get(team.name, none)
+                    share = shares.get(label, 0.0)
+                    fresh[label][team.name] = (share, old[1]) if part == 0 else (old[0], share)
+        changed = {label: teams for label, teams in fresh.items() if teams != self.given[label]}
+        for label, teams in changed.items():
+            self.given[label] = teams
+            self.sent[label] += 1
+        return changed
--- /dev/null
+++ b/alderbridge/machines.py
@@ -0,0 +1,404 @@
+"""A part's machines: reports, orders, leases, and proof of what is not there.
+
+States of a machine in its part:
+
+* EXPECTED: recorded or reporting, not yet seen with this view's mandate.
+* UP: has acknowledged the mandate; tasks may be placed on it.
+* DRAINING: the cloud or the leader wants it back; nothing new goes there.
+* LAPSED: its lease has provably run out; nothing is on it.
+* GONE: the cloud has confirmed its end.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from enum import Enum
+
+import msgspec
+
+from . import constants as c
+from .mesh import Grant, Halt, RoomRow, Seen, SeenTask
+from .placement import Candidate
+from .wire import Beat, JobSpec, MachineType, clear_order, halt_order, run_order, split_task
+
+log = logging.getLogger("machines")
+
+Task = tuple[str, int]  # job, index
+
+
+class MachineState(str, Enum):
+    EXPECTED = "expected"
+    UP = "up"
+    DRAINING = "draining"
+    LAPSED = "lapsed"
+    GONE = "gone"
+
+
+class OnMachine(msgspec.Struct):
+    attempt: int
+    status: str
+    cause: str | None
+    since: float
+
+
+class Pending(msgspec.Struct):
+    """Granted by its home, and not yet seen in a report."""
+
+    attempt: int
+    sent: bool = False
+
+
+class Machine:
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.state = MachineState.EXPECTED
+        self.type = self.zone = ""
+        self.spot = False
+        self.recorded = False  # the store holds its record; no ``run`` before that
+        self.acked = False  # a report of it has borne this view's mandate
+        self.heard_at = now  # receipt of the newest report, or the view's start
+        self.news = (0, 0)  # (tenure, counter) of the newest report
+        self.recall_at: float | None = None
+        self.tasks: dict[Task, OnMachine] = {}
+        self.pending: dict[Task, Pending] = {}
+        self.reserved: dict[int, tuple[str, int]] = {}  # take -> job, count
+        self.halts: dict[Task, tuple[int, float]] = {}
+        self.clears: set[tuple[str, int, int]] = set()
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.idle_since: float | None = now
+        self.errors: list[str] = []  # jobs of the errors in a row
+        self.aside_until = 0.0
+
+    # -- changes of state, one method each ---------------------------------
+
+    def acknowledge(self) -> None:
+        self.acked = True
+        if self.state is not MachineState.DRAINING:
+            self.state = MachineState.UP
+
+    def drain(self) -> None:
+        if self.state in (MachineState.UP, MachineState.EXPECTED):
+            self.state = MachineState.DRAINING
+
+    def lapse(self) -> None:
+        self.state = MachineState.LAPSED
+        self._forget()
+
+    def gone(self) -> None:
+        self.state = MachineState.GONE
+        self._forget()
+
+    def _forget(self) -> None:
+        self.tasks.clear()
+        self.pending.clear()
+        self.halts.clear()
+        self.clears.clear()
+
+    @property
+    def proven(self) -> bool:
+        """What is known of its tasks is complete under this view."""
+        return self.acked or self.state in (MachineState.LAPSED, MachineState.GONE)
+
+    @property
+    def live(self) -> dict[Task, OnMachine]:
+        return {task: on for task, on in self.tasks.items() if on.status != "ended"}
+
+    @property
+    def idle(self) -> bool:
+        return not self.pending and not self.reserved and all(on.status == "ended" for on in self.tasks.values())
+
+
+class Part:
+    """The machines that the hash gives to this controller."""
+
+    def __init__(self, me: str, lease_s: float, send: Callable[[str, object], int],
+                 spec_of: Callable[[str], JobSpec | None], home_of: Callable[[str], str]) -> None:
+        self.me = me
+        self.lease_s = lease_s
+        self.send = send
+        self.spec_of = spec_of  # None: unknown, or ended for good
+        self.home_of = home_of
+        self.upto: Callable[[str], int] = lambda label: 0
+        self.machines: dict[str, Machine] = {}
+        self.returned: set[str] = set()  # confirmed gone; late reports mean nothing
+        self.doomed: set[str] = set()  # wanted back before they ever reported
+        self.to_record: list[str] = []
+        self.mandate = 0
+        self.members: list[str] = []
+        self.types: dict[str, MachineType] = {}
+        self.settled_at: float | None = None  # since when all members act under this view
+        self.takes = 0
+
+    def enter(self, mandate: int, members: list[str], machines: Iterable[str], now: float) -> None:
+        """A new view: these recorded machines are ours; all must acknowledge."""
+        old, self.machines = self.machines, {}
+        self.mandate, self.members, self.settled_at = mandate, members, None
+        self.to_record = []
+        for name in machines:
+            machine = self.machines[name] = Machine(name, now)
+            machine.recorded = True
+            if name in old:
+                before = old[name]
+                machine.type, machine.zone, machine.spot = before.type, before.zone, before.spot
+                machine.images, machine.news, machine.idle_since = before.images, before.news, before.idle_since
+                if before.state is MachineState.DRAINING:
+                    machine.drain()
+
+    def settle(self, now: float) -> None:
+        """Every member acts under this view: earlier answers are all older than now."""
+        if self.settled_at is None:
+            self.settled_at = now
+
+    # -- reports -----------------------------------------------------------
+
+    def on_beat(self, beat: Beat, now: float) -> Machine | None:
+        """The machine; None where the report must not be answered with 200."""
+        machine = self.machines.get(beat.machine)
+        if machine is None:
+            if beat.machine in self.returned:
+                return None
+            machine = self.machines[beat.machine] = Machine(beat.machine, now)
+            self.to_record.append(beat.machine)
+            log.info("machine=%s state=expected cause=first report", beat.machine)
+        news = (beat.tenure, beat.counter)
+        if news <= machine.news or machine.state is MachineState.GONE:
+            return None
+        machine.news, machine.heard_at = news, now
+        machine.type, machine.zone, machine.spot = beat.type, beat.zone, beat.spot
+        machine.recall_at = None if beat.recall_s is None else now + beat.recall_s
+        if beat.mandate < self.mandate:
+            return machine  # the answer brings the mandate; only a later report proves anything
+        first = not machine.acked or machine.state is MachineState.LAPSED
+        if first:
+            machine.acknowledge()
+            log.debug("machine=%s state=up cause=acknowledged mandate=%d", machine.name, self.mandate)
+        if beat.recall_s is not None or beat.machine in self.doomed:
+            machine.drain()
+        self._reported(machine, beat, first, now)
+        return machine
+
+    def _reported(self, machine: Machine, beat: Beat, tell: bool, now: float) -> None:
+        old, machine.tasks = machine.tasks, {}
+        for task in beat.tasks:
+            job, index = split_task(task.part)
+            if not job:
+                continue
+            before = old.get((job, index))
+            same = before is not None and (before.attempt, before.status) == (task.attempt, task.status)
+            since = before.since if same and before else now
+            machine.tasks[(job, index)] = OnMachine(task.attempt, task.status, task.cause, since)
+            if not same:
+                tell = True
+                self._learn(machine, job, task.status, task.cause, now)
+        tell = tell or len(old) != len(machine.tasks)
+        for key, pending in list(machine.pending.items()):
+            on = machine.tasks.get(key)
+            if on is not None and on.attempt == pending.attempt:
+                del machine.pending[key]
+                tell = True
+            elif machine.state is not MachineState.UP or key in machine.halts:
+                # Never sent, or settled by this newer report: it was not started.
+                del machine.pending[key]
+                tell = True
+        for key, (attempt, _) in list(machine.halts.items()):
+            on = machine.tasks.get(key)
+            if on is None or on.attempt != attempt or on.status == "ended":
+                del machine.halts[key]
+        machine.clears = {(job, index, attempt) for job, index, attempt in machine.clears
+                          if (on := machine.tasks.get((job, index))) is not None and on.attempt == attempt}
+        self._orphans(machine)
+        if not machine.idle:
+            machine.idle_since = None
+        elif machine.idle_since is None:
+            machine.idle_since = now
+        if tell:
+            self.tell_homes(machine)
+
+    def _orphans(self, machine: Machine) -> None:
+        """Tasks of jobs that are over for good have no home to ask."""
+        for (job, index), on in machine.tasks.items():
+            if self.spec_of(job) is None:
+                if on.status == "ended":
+                    machine.clears.add((job, index, on.attempt))
+                else:
+                    machine.halts[(job, index)] = (on.attempt, 0.0)
+
+    def _learn(self, machine: Machine, job: str, status: str, cause: str | None, now: float) -> None:
+        spec = self.spec_of(job)
+        if spec is not None and (status in ("running", "saving") or cause == "done"):
+            machine.images[spec.image] = spec.image_gb
+            machine.images.move_to_end(spec.image)
+            kind = self.types.get(machine.type)
+            while kind and kind.cache_gb and len(machine.images) > 1 and sum(machine.images.values()) > kind.cache_gb:
+                machine.images.popitem(last=False)
+        if cause == "done":
+            machine.errors.clear()
+        elif cause == "error":
+            machine.errors.append(job)
+            if len(machine.errors) >= c.FAULTY_ERRORS and len(set(machine.errors)) > 1:
+                machine.aside_until = now + c.FAULTY_S
+                machine.errors.clear()
+                log.info("machine=%s state=aside cause=errors in a row", machine.name)
+
+    def orders(self, machine: Machine) -> list[dict]:
+        """The orders of a response; none for a machine that has yet to acknowledge."""
+        if not machine.acked:
+            return []
+        orders = [clear_order(job, index, attempt) for job, index, attempt in sorted(machine.clears)]
+        orders += [halt_order(job, index, attempt, wind_down)
+                   for (job, index), (attempt, wind_down) in machine.halts.items()]
+        if machine.state is MachineState.UP and machine.recorded:
+            for (job, index), pending in machine.pending.items():
+                on = machine.tasks.get((job, index))
+                if on is not None and on.attempt != pending.attempt:
+                    continue  # the old attempt must be cleared first
+                pending.sent = True
+                orders.append(run_order(job, index, pending.attempt))
+        return orders
+
+    def tell_homes(self, machine: Machine) -> None:
+        """To every home, what of its tasks is on the machine: silence would prove nothing."""
+        if not machine.proven:
+            return
+        tasks: dict[str, list[SeenTask]] = {label: [] for label in self.members}
+        held: dict[str, list[tuple[str, int, int]]] = {label: [] for label in self.members}
+        for (job, index), on in machine.tasks.items():
+            home = self.home_of(job)
+            if home in tasks:
+                tasks[home].append(SeenTask(job, index, on.attempt, on.status, on.cause))
+        for (job, index), pending in machine.pending.items():
+            home = self.home_of(job)
+            if home in held:
+                held[home].append((job, index, pending.attempt))
+        for label in self.members:
+            self.send(label, Seen(machine.name, machine.zone, self.upto(label), tasks[label], held[label]))
+
+    # -- messages of homes -------------------------------------------------
+
+    def on_grant(self, grant: Grant, now: float) -> None:
+        machine = self.machines.get(grant.machine)
+        if machine is None:
+            return
+        machine.reserved.pop(grant.take, None)
+        if not grant.tasks:
+            if machine.idle and machine.idle_since is None:
+                machine.idle_since = now
+            return
+        if machine.state is not MachineState.UP:
+            self.tell_homes(machine)  # never ordered: the home takes them back
+            return
+        for index, attempt in grant.tasks:
+            machine.pending[(grant.job, index)] = Pending(attempt)
+        machine.idle_since = None
+
+    def on_halt(self, halt: Halt) -> None:
+        machine = self.machines.get(halt.machine)
+        if machine is None:
+            return
+        key = (halt.job, halt.index)
+        pending = machine.pending.get(key)
+        if pending is not None and pending.attempt == halt.attempt and not pending.sent:
+            del machine.pending[key]
+            self.tell_homes(machine)
+            return
+        machine.halts[key] = (halt.attempt, halt.wind_down_s)
+
+    def on_clear(self, machine_name: str, job: str, index: int, attempt: int) -> None:
+        machine = self.machines.get(machine_name)
+        if machine is not None:
+            machine.clears.add((job, index, attempt))
+
+    def reserve(self, machine: Machine, job: str, count: int) -> int:
+        self.takes += 1
+        machine.reserved[self.takes] = (job, count)
+        machine.idle_since = None
+        return self.takes
+
+    # -- time --------------------------------------------------------------
+
+    def check_leases(self, now: float) -> None:
+        if self.settled_at is None:
+            return
+        wait = self.lease_s * (1 + 2 * c.CLOCK_DRIFT) + c.PROOF_MARGIN_S
+        for machine in self.machines.values():
+            if machine.state in (MachineState.LAPSED, MachineState.GONE):
+                continue
+            since = machine.heard_at if machine.acked else max(machine.heard_at, self.settled_at)
+            if now - since > wait:
+                log.info("machine=%s state=lapsed cause=silent for %.1f s", machine.name, now - machine.heard_at)
+                machine.lapse()
+                self.tell_homes(machine)
+
+    def drain(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.doomed.add(name)
+            machine = self.machines.get(name)
+            if machine is not None:
+                machine.drain()
+                self._drop_unsent(machine)
+
+    def _drop_unsent(self, machine: Machine) -> None:
+        unsent = [key for key, pending in machine.pending.items() if not pending.sent]
+        for key in unsent:
+            del machine.pending[key]
+        if unsent:
+            self.tell_homes(machine)
+
+    def on_gone(self, names: Iterable[str]) -> list[str]:
+        """Confirmed returns; the names whose records may be dropped."""
+        result = []
+        for name in names:
+            self.returned.add(name)
+            self.doomed.discard(name)
+            machine = self.machines.pop(name, None)
+            if machine is not None:
+                machine.gone()
+                self.tell_homes(machine)
+                log.info("machine=%s state=gone cause=returned", name)
+                result.append(name)
+        return result
+
+    def candidate(self, machine: Machine, now: float) -> Candidate | None:
+        """The machine for placement, if tasks may go there."""
+        if machine.state is not MachineState.UP or not machine.recorded or now < machine.aside_until:
+            return None
+        return Candidate(machine.name, machine.type, machine.zone, machine.spot, self.free(machine),
+                         frozenset(machine.images))
+
+    # -- for placement and the leader ----------------------------------------
+
+    def free(self, machine: Machine) -> tuple[float, float, float]:
+        kind = self.types.get(machine.type)
+        if kind is None:
+            return (0.0, 0.0, 0.0)
+        cpus, memory, gpus = kind.cpus, kind.memory_gb, kind.gpus
+        taken: list[tuple[str, int]] = [(job, 1) for job, _ in machine.live] + [(job, 1) for job, _ in machine.pending]
+        taken += list(machine.reserved.values())
+        for job, count in taken:
+            spec = self.spec_of(job)
+            if spec is not None:
+                cpus -= spec.cpus * count
+                memory -= spec.memory_gb * count
+                gpus -= spec.gpus * count
+        return (cpus, memory, gpus)
+
+    def room(self, now: float, run_time: Callable[[JobSpec], float]) -> list[RoomRow]:
+        rows = []
+        for machine in self.machines.values():
+            ends = []
+            for (job, _), on in machine.live.items():
+                spec = self.spec_of(job)
+                if spec is not None:
+                    spent = now - on.since if on.status == "running" else 0.0
+                    ends.append((max(0.0, run_time(spec) - spent), spec.cpus, spec.memory_gb, spec.gpus))
+            for job, _ in machine.pending:
+                spec = self.spec_of(job)
+                if spec is not None:
+                    ends.append((run_time(spec), spec.cpus, spec.memory_gb, spec.gpus))
+            idle = 0.0 if machine.idle_since is None else now - machine.idle_since
+            state = "aside" if machine.state is MachineState.UP and now < machine.aside_until else machine.state.value
+            rows.append(RoomRow(machine.name, machine.type, machine.zone, machine.spot, state, idle,
+                                self.free(machine), ends, now - machine.heard_at))
+        return rows
--- /dev/null
+++ b/alderbridge/mesh.py
@@ -0,0 +1,299 @@
+"""What controllers say to each other: tagged tuples, framed, over TCP.
+
+A ``Channel`` is the pure part: ordered delivery under one mandate, resent
+until acknowledged, forgotten at a change of view. ``Mesh`` moves the bytes.
+"""
+
+from __future__ import annotations
+
+import logging
+import struct
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+from curio import socket
+
+from . import __version__
+from . import constants as c
+from .config import address
+
+log = logging.getLogger("mesh")
+
+
+class Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
+    """Base of all messages; the tag is the class name."""
+
+
+class Pulse(Message):
+    """Nothing to say: carries the acknowledgement."""
+
+
+class QueueRow(msgspec.Struct, array_like=True, frozen=True):
+    """One waiting job at its home."""
+
+    job: str
+    waiting: int  # tasks that wait
+    offer: int  # of these, tasks that may be granted now
+    due_in_s: float  # until Maximum Queue Time is breached
+    run_s: float  # Expected Run Time
+    zone: str | None  # the only zone it may use now, if any
+    waited_s: float
+    guaranteed: bool  # lies within its team's guarantee
+
+
+class Queue(Message):
+    """A home's waiting jobs and what its teams hold; sent every round."""
+
+    rows: list[QueueRow]
+    held: dict[str, tuple[float, float]]
+    want: dict[str, tuple[float, float]]
+    allots: int  # allotments received under this mandate
+
+
+class RoomRow(msgspec.Struct, array_like=True, frozen=True):
+    """One machine as its part sees it."""
+
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    state: str
+    idle_s: float
+    free: tuple[float, float, float]  # cpus, memory, gpus
+    ends: list[tuple[float, float, float, float]]  # remaining s, cpus, memory, gpus
+    silent_s: float
+
+
+class Room(Message):
+    """A part's machines, for the leader."""
+
+    rows: list[RoomRow]
+
+
+class Take(Message):
+    """A part with room asks a job's home for tasks."""
+
+    take: int
+    job: str
+    machine: str
+    zone: str
+    count: int
+
+
+class Grant(Message):
+    """The home's answer: tasks (index, attempt) for that machine; may be none."""
+
+    take: int
+    job: str
+    machine: str
+    tasks: list[tuple[int, int]]
+
+
+class SeenTask(msgspec.Struct, array_like=True, frozen=True):
+    job: str
+    index: int
+    attempt: int
+    status: str
+    cause: str | None
+
+
+class Seen(Message):
+    """All that is known of one home's tasks on one machine; a proof of absence.
+
+    ``upto`` is the last message of the home that the part had handled.
+    """
+
+    machine: str
+    zone: str
+    upto: int
+    tasks: list[SeenTask]
+    held: list[tuple[str, int, int]]  # granted, and not yet seen in a report
+
+
+class Clear(Message):
+    machine: str
+    job: str
+    index: int
+    attempt: int
+
+
+class Halt(Message):
+    machine: str
+    job: str
+    index: int
+    attempt: int
+    wind_down_s: float
+
+
+class Allot(Message):
+    """The leader's allowance for one home: team -> cpus, gpus."""
+
+    teams: dict[str, tuple[float, float]]
+
+
+class Drain(Message):
+    """The leader wants these machines back; nothing may be placed on them again."""
+
+    machines: list[str]
+
+
+class Gone(Message):
+    """The cloud has confirmed that these machines and all on them are gone."""
+
+    machines: list[str]
+
+
+class Ask(Message):
+    """A user's question, passed to the job's home."""
+
+    ask: int
+    what: str  # "status" or "withdraw"
+    job: str
+
+
+class Reply(Message):
+    ask: int
+    status: int
+    body: bytes
+
+
+Body = (Pulse | Queue | Room | Take | Grant | Seen | Clear | Halt | Allot | Drain | Gone | Ask | Reply)
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True):
+    version: str
+    sender: str
+    mandate: int
+    seq: int  # 0: not resent when lost
+    ack: int
+    body: Body
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Frame).decode
+
+
+class Channel:
+    """Ordered messages to and from one member under one mandate."""
+
+    def __init__(self, me: str) -> None:
+        self.me = me
+        self.peer_mandate = 0
+        self.reset(0, 0.0)
+
+    def reset(self, mandate: int, now: float) -> None:
+        self.mandate = mandate
+        self.next_seq = 1
+        self.received = 0
+        self.unacked: deque[tuple[int, Message]] = deque()
+        self.progress_at = now
+
+    def post(self, body: Message, now: float) -> Frame:
+        """A message that must arrive."""
+        if not self.unacked:
+            self.progress_at = now
+        self.unacked.append((self.next_seq, body))
+        self.next_seq += 1
+        return self._frame(self.next_seq - 1, body)
+
+    def tell(self, body: Message) -> Frame:
+        """A message that may be lost."""
+        return self._frame(0, body)
+
+    def _frame(self, seq: int, body: Message) -> Frame:
+        return Frame(__version__, self.me, self.mandate, seq, self.received, body)
+
+    def receive(self, frame: Frame, now: float) -> Message | None:
+        """The body, if it is new and in order under this mandate."""
+        self.peer_mandate = max(self.peer_mandate, frame.mandate)
+        if frame.mandate != self.mandate:
+            return None
+        while self.unacked and self.unacked[0][0] <= frame.ack:
+            self.unacked.popleft()
+            self.progress_at = now
+        if frame.seq == 0:
+            return frame.body
+        if frame.seq != self.received + 1:
+            return None
+        self.received = frame.seq
+        return frame.body
+
+    def resend(self, now: float) -> list[Frame]:
+        if not self.unacked or now - self.progress_at < c.MESH_RESEND_S:
+            return []
+        self.progress_at = now
+        return [self._frame(seq, body) for seq, body in self.unacked]
+
+
+class Mesh:
+    """One outgoing connection to each peer, and whatever comes in."""
+
+    def __init__(self, listen: str, peers: dict[str, str], deliver: Callable[[Frame], Awaitable[None]]) -> None:
+        self.listen = address(listen)
+        self.peers = {label: address(addr) for label, addr in peers.items()}
+        self.deliver = deliver
+        self.queues: dict[str, deque[bytes]] = {label: deque() for label in peers}
+        self.wake = {label: curio.Event() for label in peers}
+        self.connected: set[str] = set()
+        self.complained: set[str] = set()
+
+    def put(self, label: str, frame: Frame) -> None:
+        """Queue a frame; dropped while the peer is out of reach."""
+        queue = self.queues[label]
+        if label not in self.connected or len(queue) > c.MESH_BACKLOG:
+            return
+        data = _encode(frame)
+        queue.append(struct.pack(">I", len(data)) + data)
+
+    async def flush(self) -> None:
+        for label, queue in self.queues.items():
+            if queue:
+                await self.wake[label].set()
+
+    async def serve(self) -> None:
+        await curio.tcp_server(*self.listen, self._incoming, backlog=64, reuse_address=True)
+
+    async def _incoming(self, client: curio.io.Socket, _addr: object) -> None:
+        stream = client.as_stream()
+        try:
+            while True:
+                head = await curio.timeout_after(c.MESH_SILENCE_S * 2, stream.read_exactly, 4)
+                (size,) = struct.unpack(">I", head)
+                if size > c.MAX_FRAME:
+                    raise msgspec.DecodeError(f"frame of {size} bytes")
+                frame = _decode(await curio.timeout_after(c.MESH_SILENCE_S * 2, stream.read_exactly, size))
+                await self.deliver(frame)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            # A peer of another version: said once, then its connection is dropped.
+            if str(error) not in self.complained and len(self.complained) < 100:
+                self.complained.add(str(error))
+                log.error("message dropped with its connection: %s", error)
+        except (OSError, EOFError, curio.TaskTimeout):
+            pass
+
+    async def send_to(self, label: str) -> None:
+        """Keep one connection to a peer and write what is queued."""
+        while True:
+            sock = None
+            try:
+                sock = await curio.timeout_after(c.CONNECT_S, curio.open_connection, *self.peers[label])
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.queues[label].clear()
+                self.connected.add(label)
+                log.info("mesh peer=%s state=connected", label)
+                while True:
+                    await self.wake[label].wait()
+                    self.wake[label].clear()
+                    queue = self.queues[label]
+                    data = b"".join(queue)
+                    queue.clear()
+                    await curio.timeout_after(c.MESH_SILENCE_S, sock.sendall, data)
+            except (OSError, curio.TaskTimeout) as error:
+                log.debug("mesh peer=%s state=lost cause=%r", label, error)
+            finally:
+                self.connected.discard(label)
+                if sock is not None:
+                    await sock.close()
+            await curio.sleep(c.MESH_RETRY_S)
--- /dev/null
+++ b/alderbridge/placement.py
@@ -0,0 +1,106 @@
+"""Which waiting tasks go to which machine of this part.
+
+Soonest deadline first. A machine must be of an allowed type, zone and kind and
+have room. Among those, one that has the image goes first, then a spot machine
+for jobs that may use spot (ordinary ones are kept for jobs that may not), then
+the one that is filled best.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from .mesh import QueueRow
+from .wire import JobSpec, MachineType
+
+Room = tuple[float, float, float]  # cpus, memory, gpus
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A machine that may be given tasks."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    free: Room
+    images: frozenset[str] | Mapping[str, float]
+
+
+@dataclass(frozen=True)
+class Wanted:
+    """Tasks of one job to ask its home for, for one machine."""
+
+    home: str
+    job: str
+    machine: str
+    zone: str
+    count: int
+
+
+def allowed(spec: JobSpec, machine_type: str, zone: str, spot: bool) -> bool:
+    return ((spec.types is None or machine_type in spec.types) and (spec.zone is None or spec.zone == zone)
+            and (spec.spot or not spot))
+
+
+def fits(spec: JobSpec, room: Room) -> int:
+    """How many tasks of ``spec`` the room holds."""
+    counts = [math.floor(room[0] / spec.cpus + 1e-9)]
+    if spec.memory_gb > 0:
+        counts.append(math.floor(room[1] / spec.memory_gb + 1e-9))
+    if spec.gpus > 0:
+        counts.append(math.floor(room[2] / spec.gpus + 1e-9))
+    return max(0, min(counts))
+
+
+def minus(room: Room, spec: JobSpec, count: int) -> Room:
+    return (room[0] - spec.cpus * count, room[1] - spec.memory_gb * count, room[2] - spec.gpus * count)
+
+
+def runnable(spec: JobSpec, types: Iterable[MachineType]) -> bool:
+    """Whether a task of ``spec`` fits any allowed machine type when empty."""
+    for kind in types:
+        zones = kind.zones or [""]
+        if any(allowed(spec, kind.name, zone, False) for zone in zones):
+            if fits(spec, (kind.cpus, kind.memory_gb, kind.gpus)):
+                return True
+    return False
+
+
+def plan(candidates: Iterable[Candidate], queue: Iterable[tuple[str, QueueRow, JobSpec]]) -> list[Wanted]:
+    """What to ask for; ``queue`` is sorted, soonest deadline first."""
+    room = {m.name: m.free for m in candidates}
+    machines = {m.name: m for m in candidates}
+    result: list[Wanted] = []
+    for home, row, spec in queue:
+        offer = row.offer
+        if offer <= 0:
+            continue
+        if not room:
+            break
+        options = []
+        for name, free in room.items():
+            machine = machines[name]
+            if not allowed(spec, machine.type, machine.zone, machine.spot):
+                continue
+            if row.zone is not None and machine.zone != row.zone:
+                continue
+            count = fits(spec, free)
+            if count:
+                options.append((spec.image not in machine.images, spec.spot and not machine.spot,
+                                abs(count - offer), name, count))
+        zone = row.zone
+        for _, _, _, name, count in sorted(options):
+            if spec.one_zone and zone is not None and machines[name].zone != zone:
+                continue
+            zone = machines[name].zone
+            count = min(count, offer)
+            result.append(Wanted(home, row.job, name, zone, count))
+            room[name] = minus(room[name], spec, count)
+            offer -= count
+            if offer <= 0:
+                break
+    return result
--- /dev/null
+++ b/alderbridge/policy.py
@@ -0,0 +1,289 @@
+"""Spot Base Hard: when to rent, what to rent, when to give back.
+
+Follows "Managing Peak Loads by Leasing Cloud Infrastructure Services from a
+Spot Market" (Mattess, Vecchiola, Buyya), section 3, and uses its words:
+
+* Maximum Queue Time: requested time times the Target Ratio, with a floor (3.1).
+* Expected Run Time: requested time times the Workload Multiplier (3.1).
+* Breach: a task assigned later than its Maximum Queue Time allows. The
+  heuristic (3.2) walks the queue, soonest deadline first, over the times at
+  which slots are expected to become free; machines that have been requested
+  but have not come up count as free already.
+* Hard check (3.3): at a regular interval, tasks about to breach ask for
+  machines whatever the heuristic said.
+* Spot (3.4): spot machines are rented while their price is below the bid.
+
+Pure: the leader calls it with what it knows, time included.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from . import constants as c
+from .config import Objective, Tuning
+from .placement import Room, allowed, fits
+from .wire import JobSpec, MachineType
+
+WALKED_TASKS = 3000  # tasks; a longer queue breaches long before its end
+
+
+@dataclass(frozen=True)
+class Kind:
+    """What can be rented: a type in a zone, spot or ordinary."""
+
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass
+class Resource:
+    """A machine as the heuristic sees it: what is free now, what comes free when."""
+
+    kind: Kind
+    free: Room
+    ends: Sequence[tuple[float, float, float, float]] = ()  # in s, cpus, memory, gpus
+
+
+@dataclass(frozen=True)
+class Demand:
+    """The waiting tasks of one job."""
+
+    spec: JobSpec
+    count: int
+    due_in_s: float  # until its Maximum Queue Time is breached
+    run_s: float  # Expected Run Time
+    zone: str | None = None
+
+
+def expected_run_time(spec: JobSpec, tuning: Tuning) -> float:
+    if spec.service:
+        return c.SERVICE_RUN_S
+    return (spec.estimate_s or c.UNKNOWN_RUN_S) * tuning.workload_multiplier
+
+
+def max_queue_time(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective] = ()) -> float:
+    requested = spec.estimate_s or c.UNKNOWN_RUN_S
+    return max(tuning.queue_time_floor_s, requested * tuning.target_ratio)
+
+
+def _may_use(demand: Demand, kind: Kind) -> bool:
+    return allowed(demand.spec, kind.type, kind.zone, kind.spot) and demand.zone in (None, kind.zone)
+
+
+class _Slots:
+    """Slots of machines of one kind and size, as a heap of the times they come free."""
+
+    def __init__(self, kind: Kind, size: JobSpec) -> None:
+        self.kind, self.size = kind, size
+        self.heap: list[float] = []
+
+    def add(self, resource: Resource) -> None:
+        free, count = resource.free, fits(self.size, resource.free)
+        self.heap += [0.0] * count
+        for end, cpus, memory, gpus in sorted(resource.ends):
+            free = (free[0] + cpus, free[1] + memory, free[2] + gpus)
+            now = fits(self.size, free)
+            if now > count:
+                self.heap += [end] * (now - count)
+                count = now
+
+    def per_task(self, spec: JobSpec) -> tuple[int, int]:
+        """(slots a task takes, tasks a slot holds); one of them is 1."""
+        ratios = [spec.cpus / self.size.cpus]
+        for each, size in ((spec.memory_gb, self.size.memory_gb), (spec.gpus, self.size.gpus)):
+            if each > 0:
+                ratios.append(each / size if size > 0 else math.inf)
+        ratio = max(ratios)
+        if math.isinf(ratio):
+            return 0, 0
+        return max(1, math.ceil(ratio - 1e-9)), max(1, math.floor(1 / ratio + 1e-9))
+
+
+def predict_breach(resources: Iterable[Resource], queue: Sequence[Demand]) -> Demand | None:
+    """The first demand, soonest deadline first, that would be assigned too late.
+
+    Slots are sized to the head task; on a machine that the head may not use or
+    does not fit, to the soonest task that does.
+    """
+    pools: dict[tuple[Kind, str], _Slots] = {}
+    for resource in resources:
+        total = (resource.free[0] + sum(e[1] for e in resource.ends),
+                 resource.free[1] + sum(e[2] for e in resource.ends),
+                 resource.free[2] + sum(e[3] for e in resource.ends))
+        for demand in queue:
+            if _may_use(demand, resource.kind) and fits(demand.spec, total):
+                key = (resource.kind, demand.spec.id)
+                if key not in pools:
+                    pools[key] = _Slots(resource.kind, demand.spec)
+                pools[key].add(resource)
+                break
+    for pool in pools.values():
+        heapq.heapify(pool.heap)
+    walked = 0
+    for demand in queue:
+        usable = []
+        for pool in pools.values():
+            if pool.heap and _may_use(demand, pool.kind):
+                slots, tasks = pool.per_task(demand.spec)
+                if slots:
+                    usable.append((pool, slots, tasks))
+        left = demand.count
+        while left > 0:
+            best = min((entry for entry in usable if len(entry[0].heap) >= entry[1]),
+                       key=lambda entry: entry[0].heap[0], default=None)
+            if best is None:
+                return demand
+            pool, slots, tasks = best
+            at = max(heapq.heappop(pool.heap) for _ in range(slots))
+            if at > max(0.0, demand.due_in_s):
+                return demand
+            for _ in range(slots):
+                heapq.heappush(pool.heap, at + demand.run_s)
+            left -= tasks
+            walked += 1
+            if walked > WALKED_TASKS:
+                return None
+    return None
+
+
+@dataclass
+class Market:
+    """What may be rented now."""
+
+    types: dict[str, MachineType]
+    zones: Sequence[str]
+    bid_share: float
+    refused_until: dict[Kind, float] = field(default_factory=dict)
+
+    def price(self, kind: Kind) -> float:
+        machine = self.types[kind.type]
+        return machine.spot_price if kind.spot and machine.spot_price is not None else machine.price
+
+    def kinds(self, now: float) -> list[Kind]:
+        """All kinds not lately refused; spot only below the bid."""
+        result = []
+        for machine in self.types.values():
+            for zone in machine.zones or self.zones:
+                for spot in (True, False):
+                    if spot and (machine.spot_price is None or machine.spot_price > machine.price * self.bid_share):
+                        continue
+                    kind = Kind(machine.name, zone, spot)
+                    if self.refused_until.get(kind, 0.0) <= now:
+                        result.append(kind)
+        return result
+
+    def room(self, kind: Kind) -> Room:
+        machine = self.types[kind.type]
+        return (machine.cpus, machine.memory_gb, machine.gpus)
+
+    def best(self, demand: Demand, now: float, count: dict[Kind, int] | None = None) -> Kind | None:
+        """The cheapest per slot; among equals, where fewest machines are."""
+        options = []
+        for kind in self.kinds(now):
+            slots = fits(demand.spec, self.room(kind))
+            if slots and _may_use(demand, kind):
+                useful = min(slots, demand.count)
+                options.append((self.price(kind) / useful, (count or {}).get(kind, 0), kind.type, kind.zone, kind))
+        return min(options, key=lambda o: o[:4])[4] if options else None
+
+
+def machines_wanted(resources: list[Resource], queue: Sequence[Demand], market: Market, now: float,
+                    below_cap: int) -> list[Kind]:
+    """Base (3.2): while a breach is predicted, one more machine, counted as free."""
+    wanted: list[Kind] = []
+    blocked: set[str] = set()
+    resources = list(resources)
+    rest = list(queue)
+    count: dict[Kind, int] = {}
+    for resource in resources:
+        count[resource.kind] = count.get(resource.kind, 0) + 1
+    while len(wanted) < below_cap:
+        breach = predict_breach(resources, rest)
+        if breach is None:
+            break
+        kind = market.best(breach, now, count)
+        if kind is None:
+            blocked.add(breach.spec.id)
+            rest = [demand for demand in rest if demand.spec.id not in blocked]
+            continue
+        wanted.append(kind)
+        count[kind] = count.get(kind, 0) + 1
+        resources.append(Resource(kind, market.room(kind)))
+    return wanted
+
+
+def hard_check(queue: Iterable[Demand], market: Market, now: float, booting: Sequence[Resource],
+               below_cap: int) -> list[Kind]:
+    """Hard (3.3): tasks within boot time and margin of a breach ask for machines.
+
+    The paper's machine holds one task, ours several: tasks ask for the machines
+    that hold them, less those that are booting and not overdue.
+    """
+    wanted: list[Kind] = []
+    coming = list(booting)
+    for demand in queue:
+        kind = market.best(demand, now)
+        if kind is None or demand.due_in_s > market.types[kind.type].boot_s + c.HARD_MARGIN_S:
+            continue
+        left = demand.count
+        kept = []
+        for resource in coming:
+            slots = fits(demand.spec, resource.free) if _may_use(demand, resource.kind) else 0
+            if left > 0 and slots:
+                left -= slots
+            else:
+                kept.append(resource)
+        coming = kept
+        if left > 0:
+            wanted += [kind] * math.ceil(left / max(1, fits(demand.spec, market.room(kind))))
+        if len(wanted) >= below_cap:
+            return wanted[:below_cap]
+    return wanted
+
+
+def keep_idle(index: int, resources: Sequence[Resource], queue: Sequence[Demand]) -> bool:
+    """3.2: an idle rented machine stays if removing it predicts a breach."""
+    return predict_breach([r for i, r in enumerate(resources) if i != index], queue) is not None
+
+
+def block_ends(age_s: float, within_s: float) -> bool:
+    """Whether the paid block ends within that time; idle machines wait out their block."""
+    return c.PAID_BLOCK_S - age_s % c.PAID_BLOCK_S <= within_s
+
+
+def divide(limit: float, held: dict[str, float], given: dict[str, float], want: dict[str, float]
+           ) -> dict[str, float]:
+    """Shares of a team's limit; their sum with what is still held never exceeds it.
+
+    ``held`` is what each home reported under its last allotment ``given``. What
+    one holds beyond its want may be asked back; it counts until it is confirmed.
+    """
+    homes = sorted(held)
+    exposure = {home: max(held[home], given.get(home, 0.0)) for home in homes}
+    free = limit - sum(exposure.values())
+    result = dict(given)
+    lacking = {home: want[home] - exposure[home] for home in homes if want[home] > exposure[home] + 1e-9}
+    if lacking and free > 1e-9:
+        need = sum(lacking.values())
+        for home, lack in lacking.items():
+            result[home] = exposure[home] + min(lack, free * lack / need)
+    elif lacking:
+        for home in homes:
+            if home not in lacking and given.get(home, 0.0) > want[home] + 1e-9:
+                result[home] = want[home]
+        total = sum(lacking.values())
+        fair = limit / max(1, sum(want[home] > 0 for home in homes))
+        for home in homes:
+            if home not in lacking or not total:
+                continue
+            if given.get(home, 0.0) > fair + 1e-9:
+                result[home] = fair
+    return result
+
+
+Estimate = Callable[[JobSpec], float]
--- /dev/null
+++ b/alderbridge/view.py
@@ -0,0 +1,134 @@
+"""Membership and mandate: one record, changed only by compare-and-set."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from . import constants as c
+
+
+class View(msgspec.Struct, frozen=True):
+    """Who leads and who takes part; the record's stamp is the mandate."""
+
+    leader: str
+    members: dict[str, int]  # label -> incarnation (the permit of its hold)
+
+
+class Presence(msgspec.Struct, frozen=True):
+    """A member's own key, attached to its hold."""
+
+    permit: int
+
+
+NO_VIEW = View("", {})
+
+
+def choose(key: str, labels: Iterable[str]) -> str:
+    """Rendezvous hashing: few keys move when the labels change."""
+    return max(labels, key=lambda label: hashlib.blake2b(f"{label} {key}".encode(), digest_size=8).digest())
+
+
+class Standing(Enum):
+    """What this process may do."""
+
+    OUTSIDE = "outside"  # not in the view
+    MEMBER = "member"  # in the view, hold valid
+    LAPSED = "lapsed"  # in the view, hold not provably valid
+
+
+class Hold:
+    """This process's hold, counted from when the last good renewal was sent."""
+
+    def __init__(self, ttl_s: float) -> None:
+        self.ttl_s = ttl_s
+        self.permit = 0
+        self.valid_until = float("-inf")
+
+    def renewed(self, permit: int, sent_at: float) -> None:
+        self.permit = permit
+        self.valid_until = sent_at + self.ttl_s * (1 - c.CLOCK_DRIFT) - c.HOLD_MARGIN_S
+
+    def lost(self) -> None:
+        self.permit = 0
+        self.valid_until = float("-inf")
+
+
+class Membership:
+    """The newest view this process knows, and its own part in it."""
+
+    def __init__(self, me: str, ttl_s: float) -> None:
+        self.me = me
+        self.hold = Hold(ttl_s)
+        self.view = NO_VIEW
+        self.mandate = 0
+        self.present: dict[str, tuple[int, int]] = {}  # label -> incarnation, stamp
+        self.trouble_since: float | None = None
+
+    def saw_view(self, view: View, stamp: int) -> bool:
+        """True if this is a newer view."""
+        if stamp <= self.mandate:
+            return False
+        self.view, self.mandate = view, stamp
+        return True
+
+    def saw_presence(self, label: str, presence: Presence | None, stamp: int) -> None:
+        known = self.present.get(label)
+        if known is not None and stamp <= known[1]:
+            return
+        if presence is None:
+            self.present.pop(label, None)
+        else:
+            self.present[label] = (presence.permit, stamp)
+
+    def standing(self, now: float) -> Standing:
+        if not self.hold.permit or self.view.members.get(self.me) != self.hold.permit:
+            return Standing.OUTSIDE
+        return Standing.MEMBER if now < self.hold.valid_until else Standing.LAPSED
+
+    def may_act(self, now: float) -> bool:
+        return self.standing(now) is Standing.MEMBER
+
+    def leads(self, now: float) -> bool:
+        return self.view.leader == self.me and self.may_act(now)
+
+    def home_of(self, label: str) -> str:
+        """Who serves the jobs that were accepted under this label."""
+        members = self.view.members
+        return label if label in members or not members else choose(label, sorted(members))
+
+    def part_of(self, machine: str) -> str:
+        members = self.view.members
+        return choose(machine, sorted(members)) if members else ""
+
+    def next_view(self, now: float) -> tuple[View, dict[str, int]] | None:
+        """The change this process should try now, with its conditions.
+
+        A member whose key is gone has lost its hold: the store says so, and the
+        transaction asserts it again. Nobody is removed otherwise.
+        """
+        mine = self.present.get(self.me)
+        if mine is None or mine[0] != self.hold.permit or now >= self.hold.valid_until:
+            return None
+        alive = {label: permit for label, (permit, _) in self.present.items()}
+        if alive == self.view.members and self.view.leader in alive:
+            self.trouble_since = None
+            return None
+        leader = self.view.leader
+        if self.view.members.get(leader) != alive.get(leader, -1):
+            # Leaderless: the lowest label takes the lead, others only if it does not.
+            if self.trouble_since is None:
+                self.trouble_since = now
+            patience = sorted(alive).index(self.me) * c.PREDECESSOR_S
+            if now - self.trouble_since < patience:
+                return None
+            leader = self.me
+        elif leader != self.me:
+            self.trouble_since = None
+            return None
+        labels = set(alive) | set(self.view.members)
+        conditions = {label: self.present[label][1] if label in alive else 0 for label in labels}
+        return View(leader, alive), conditions
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,81 @@
+"""The paper's heuristics, on small cases worked out by hand."""
+
+from alderbridge import policy
+from alderbridge.config import Tuning
+from alderbridge.policy import Demand, Kind, Market, Resource
+from alderbridge.wire import JobSpec, MachineType
+
+BIG = MachineType(name="big", cpus=8.0, memory_gb=32.0, price=1.0, spot_price=0.3, boot_s=40.0, zones=["a"])
+
+
+def spec(name="wk-1", tasks=1, cpus=2.0, estimate_s=100.0, spot=True, **more):
+    return JobSpec(id=name, job_class="x", team="t", kind="sweep", priority="standard", tasks=tasks, cpus=cpus,
+                   memory_gb=1.0, image="i", image_gb=1.0, estimate_s=estimate_s, spot=spot, **more)
+
+
+def demand(count, due=50.0, run=100.0, **more):
+    return Demand(spec(tasks=count, **more), count, due, run)
+
+
+def big(free=8.0, ends=(), spot=True):
+    return Resource(Kind("big", "a", spot), (free, 32.0 if free else 0.0, 0.0), ends)
+
+
+def test_no_breach_while_slots_are_free():
+    assert policy.predict_breach([big()], [demand(4)]) is None
+
+
+def test_breach_when_the_next_slot_comes_too_late():
+    assert policy.predict_breach([big()], [demand(5)]).count == 5
+
+
+def test_slots_free_at_the_expected_end_of_their_task():
+    ends = [(30.0, 2.0, 8.0, 0.0)] * 4
+    assert policy.predict_breach([big(0.0, ends)], [demand(4)]) is None
+    assert policy.predict_breach([big(0.0, ends)], [demand(4, due=29.0)]) is not None
+
+
+def test_spot_machines_are_no_slots_for_a_job_that_may_not_use_them():
+    assert policy.predict_breach([big(spot=True)], [demand(1, spot=False)]) is not None
+    assert policy.predict_breach([big(spot=False)], [demand(1, spot=False)]) is None
+
+
+def test_rents_until_no_breach_is_predicted_and_spot_below_the_bid():
+    market = Market({"big": BIG}, ["a"], 0.9)
+    wanted = policy.machines_wanted([], [demand(9)], market, 0.0, 10)
+    assert wanted == [Kind("big", "a", True)] * 3
+    market.bid_share = 0.2
+    assert policy.machines_wanted([], [demand(9)], market, 0.0, 10) == [Kind("big", "a", False)] * 3
+    assert len(policy.machines_wanted([], [demand(9)], market, 0.0, 2)) == 2
+
+
+def test_hard_check_asks_only_near_a_breach_and_counts_what_is_booting():
+    market = Market({"big": BIG}, ["a"], 0.9)
+    assert policy.hard_check([demand(4, due=60.0)], market, 0.0, [], 10) == []
+    assert len(policy.hard_check([demand(8, due=50.0)], market, 0.0, [], 10)) == 2
+    assert len(policy.hard_check([demand(8, due=50.0)], market, 0.0, [big()], 10)) == 1
+
+
+def test_refused_kind_is_left_alone_for_a_while():
+    market = Market({"big": BIG}, ["a"], 0.9, {Kind("big", "a", True): 10.0})
+    assert market.best(demand(1), 5.0) == Kind("big", "a", False)
+    assert market.best(demand(1), 11.0) == Kind("big", "a", True)
+
+
+def test_maximum_queue_time_has_a_floor():
+    tuning = Tuning(target_ratio=0.5, queue_time_floor_s=120.0)
+    assert policy.max_queue_time(spec(estimate_s=60.0), tuning) == 120.0
+    assert policy.max_queue_time(spec(estimate_s=600.0), tuning) == 300.0
+
+
+def test_idle_machine_stays_only_if_its_removal_predicts_a_breach():
+    assert policy.keep_idle(0, [big(), big()], [demand(8)])
+    assert not policy.keep_idle(0, [big(), big()], [demand(4)])
+
+
+def test_shares_of_a_limit_never_exceed_it():
+    held = {"a": 60.0, "b": 0.0}
+    given = {"a": 60.0, "b": 0.0}
+    shares = policy.divide(100.0, held, given, {"a": 200.0, "b": 200.0})
+    exposure = {h: max(held[h], shares[h]) for h in held}
+    assert sum(exposure.values()) <= 100.0 + 1e-9 and shares["b"] > 0
