Take Maximum Queue Times from the objectives, not a floor of two minutes

Cause: every class had the same 120 s floor, so the soonest-deadline queue was first-come and renting began far too late for aims that start in seconds. Ruled out: report interval and boot time alone (queues stood for minutes with machines to be had).

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -81,6 +81,7 @@
         share = c.BUDGET_SHARE / len(self.labels)
         self.write_budget = Budget(shared.state.write_rps * share, shared.state.write_rps * share, now())
         self.cloud_budget = Budget(shared.cloud.rps * c.BUDGET_SHARE, 1, now())
+        self.queue_times: dict[tuple[str, bool], list[float]] = {}
         self.store_bad_until = 0.0
         self.rent_names = 0
         self.server = Server(self.handle, int(shared.limits.max_sockets * c.SOCKET_RESERVE))
@@ -100,8 +101,15 @@
     def upto(self, label: str) -> int:
         return self.local_done if label == self.me else self.channels[label].received
 
-    def queue_time(self, spec: wire.JobSpec) -> float:
-        return policy.max_queue_time(spec, self.tuning, self.shared.objectives)
+    def due_in(self, spec: wire.JobSpec, age_s: float, guaranteed: bool) -> float:
+        key = (spec.id, guaranteed)
+        times = self.queue_times.get(key)
+        if times is None:
+            if len(self.queue_times) > c.QUEUE_ROWS * 4:
+                self.queue_times.clear()
+            times = policy.queue_times(spec, self.tuning, self.shared.objectives, guaranteed)
+            self.queue_times[key] = times
+        return policy.due_in(age_s, times)
 
     def run_time(self, spec: wire.JobSpec) -> float:
         return policy.expected_run_time(spec, self.tuning)
@@ -498,7 +506,7 @@
                 self.part.settle(at)
             if self.membership.may_act(at):
                 self.part.check_leases(at)
-            queue = m.Queue(self.home.rows(at, self.queue_time, self.run_time), self.home.held(), self.home.want(),
+            queue = m.Queue(self.home.rows(at, self.due_in, self.run_time), self.home.held(), self.home.want(),
                             self.home.allots)
             for label in self.labels:
                 self.tell(label, queue if label in members else m.Pulse())
--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -361,7 +361,7 @@
 
     # -- queue and grants --------------------------------------------------
 
-    def rows(self, now: float, queue_time: Callable[[JobSpec], float], run_time: Callable[[JobSpec], float]
+    def rows(self, now: float, due_in: Callable[[JobSpec, float, bool], float], run_time: Callable[[JobSpec], float]
              ) -> list[QueueRow]:
         used = self.used()
         owed: dict[str, float] = {}
@@ -380,7 +380,7 @@
             team = self.usage.teams.get(spec.team)
             guaranteed = team is not None and team.cpus > 0 and owed[spec.team] <= team.cpus
             rows.append(QueueRow(spec.id, job.waiting, offer if fits else 0,
-                                 job.arrived + queue_time(spec) - now, run_time(spec), zone,
+                                 due_in(spec, now - job.arrived, guaranteed), run_time(spec), zone,
                                  now - job.arrived, guaranteed))
         rows.sort(key=lambda row: row.due_in_s)
         return rows[:c.QUEUE_ROWS]
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -66,11 +66,45 @@
     return (spec.estimate_s or c.UNKNOWN_RUN_S) * tuning.workload_multiplier
 
 
-def max_queue_time(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective] = ()) -> float:
+def max_queue_time(spec: JobSpec, tuning: Tuning) -> float:
+    """3.1, Equation 1, with the floor."""
     requested = spec.estimate_s or c.UNKNOWN_RUN_S
     return max(tuning.queue_time_floor_s, requested * tuning.target_ratio)
 
 
+def queue_times(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective], guaranteed: bool) -> list[float]:
+    """The Maximum Queue Times that the operators' objectives set, shortest first.
+
+    Where they promise a start in seconds, the paper's floor of minutes cannot
+    serve: an objective on waiting is a Maximum Queue Time itself, one on
+    finishing or a deadline leaves what remains beside the Expected Run Time.
+    """
+    run = expected_run_time(spec, tuning) * c.RUN_SAFETY
+    times = []
+    for objective in objectives:
+        ours = objective.job_class == spec.job_class
+        start = objective.kind == "wait" and ours or objective.kind == "guarantee" and guaranteed
+        if start and objective.within_s:
+            times.append(objective.within_s * c.WAIT_SHARE)
+        elif objective.kind == "finished" and ours and objective.within_s:
+            times.append(max(objective.within_s * c.LEAST_SHARE, objective.within_s - run))
+        elif objective.kind == "deadline" and ours and spec.due_s:
+            times.append(max(spec.due_s * c.LEAST_SHARE, spec.due_s - run))
+    return sorted(times) or [max_queue_time(spec, tuning)]
+
+
+def due_in(age_s: float, times: Sequence[float]) -> float:
+    """Time until the next Maximum Queue Time that can still be kept.
+
+    Work that has missed them all cannot be late a second time: it queues behind
+    work that can still be in time, with the last of its times over again.
+    """
+    for limit in times:
+        if age_s <= limit:
+            return limit - age_s
+    return times[-1]
+
+
 def _may_use(demand: Demand, kind: Kind) -> bool:
     return allowed(demand.spec, kind.type, kind.zone, kind.spot) and demand.zone in (None, kind.zone)
 
--- a/alderbridge/wire.py
+++ b/alderbridge/wire.py
@@ -28,7 +28,7 @@
     id: str
     job_class: Name = field(name="workload")
     team: Name = field(name="owner")
-    kind: Literal["sweep", "standing"] = field(name="shape")
+    kind: Literal["sweep", "standing", "group"] = field(name="shape")
     priority: Literal["production", "high", "standard", "best_effort"] = field(name="urgency")
     tasks: Annotated[int, Meta(ge=1, le=c.MAX_PARTS)] = field(name="parts")
     cpus: Positive = field(name="vcpus")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,7 +1,7 @@
 """The paper's heuristics, on small cases worked out by hand."""
 
 from alderbridge import policy
-from alderbridge.config import Tuning
+from alderbridge.config import Objective, Tuning
 from alderbridge.policy import Demand, Kind, Market, Resource
 from alderbridge.wire import JobSpec, MachineType
 
@@ -68,6 +68,16 @@
     assert policy.max_queue_time(spec(estimate_s=600.0), tuning) == 300.0
 
 
+def test_objectives_set_the_queue_times_and_missed_ones_go_behind():
+    objectives = [Objective("wait", "x", 20.0), Objective("finished", "x", 200.0), Objective("wait", "other", 1.0)]
+    times = policy.queue_times(spec(estimate_s=10.0), Tuning(), objectives, False)
+    assert times == [12.0, 186.0]
+    assert policy.due_in(5.0, times) == 7.0
+    assert policy.due_in(13.0, times) == 173.0
+    assert policy.due_in(500.0, times) == 186.0
+    assert policy.queue_times(spec(), Tuning(), [], False) == [120.0]
+
+
 def test_idle_machine_stays_only_if_its_removal_predicts_a_breach():
     assert policy.keep_idle(0, [big(), big()], [demand(8)])
     assert not policy.keep_idle(0, [big(), big()], [demand(4)])
