--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -401,11 +401,11 @@
                 index = job.pick(now)
                 if index is None:
                     break
-                self.attempts += 1
-                attempt = (self.mandate << 24) + self.attempts
+                attempt = self._attempt(job)
                 run = Run(take.machine, take.zone, attempt, 0, TaskState.GRANTED, now)
                 job.grant(index, run)
                 runs.append(run)
+                log.debug("task=%s/%d state=granted machine=%s", job.spec.id, index, take.machine)
                 tasks.append((index, attempt))
             seq = self.send(label, Grant(take.take, take.job, take.machine, tasks))
             for run in runs:
@@ -413,6 +413,13 @@
             return
         self.send(label, Grant(take.take, take.job, take.machine, tasks))
 
+    def _attempt(self, job: Job) -> int:
+        """A number never used before; tasks of a gang find each other by a common one."""
+        if job.spec.gang and job.runs:
+            return next(iter(job.runs.values())).attempt
+        self.attempts += 1
+        return (self.mandate << 24) + self.attempts
+
     def _team_room(self, job: Job) -> int:
         if not self.usage.limited(job.spec.team):
             return job.spec.tasks
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -191,6 +191,7 @@
             machine.tasks[(job, index)] = OnMachine(task.attempt, task.status, task.cause, since)
             if not same:
                 tell = True
+                log.debug("machine=%s task=%s status=%s cause=%s", machine.name, task.part, task.status, task.cause)
                 self._learn(machine, job, task.status, task.cause, now)
         tell = tell or len(old) != len(machine.tasks)
         for key, pending in list(machine.pending.items()):
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -61,8 +61,8 @@
 
 
 def expected_run_time(spec: JobSpec, tuning: Tuning) -> float:
-    if spec.service:
-        return c.SERVICE_RUN_S
+    if spec.service or spec.gang:
+        return c.SERVICE_RUN_S  # its tasks need their slots side by side, not one after the other
     return (spec.estimate_s or c.UNKNOWN_RUN_S) * tuning.workload_multiplier
 
 
--- a/alderbridge/wire.py
+++ b/alderbridge/wire.py
@@ -50,6 +50,11 @@
     def service(self) -> bool:
         return self.kind == "standing"
 
+    @property
+    def gang(self) -> bool:
+        """Tasks that run only together; a task that waits for the others is ``waiting``."""
+        return self.kind == "group"
+
     @property
     def rank(self) -> int:
         """Priority as a number; higher goes first."""
