--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -43,6 +43,7 @@
 MESH_BACKLOG = 5000  # messages; more than this unacknowledged closes the connection
 RETRY_AFTER_S = 2  # s; told to users when the service can't take a request
 SUBMIT_WAIT_S = 3.5  # s; users give a submission up after 5 s
+STORE_TROUBLE_S = 1.0  # s; after a call that failed, submissions are refused at once this long
 BUDGET_SHARE = 0.9  # share of a stated rate that all controllers together use
 
 # --- jobs ------------------------------------------------------------------
--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -233,6 +233,11 @@
             self.touch(now)
             log.info("job=%s state=aborted cause=withdrawn", self.spec.id)
 
+    def end(self, state: JobState) -> None:
+        """The store holds this end already."""
+        self.state = state
+        self.again.clear()
+
     def touch(self, now: float) -> None:
         if self.changed_at is None:
             self.changed_at = now
--- /dev/null
+++ b/alderbridge/node.py
@@ -0,0 +1,488 @@
+"""The pure whole of a controller: home, part, leader, view, channels, records.
+
+It does no I/O and takes time as an argument, so that random runs can drive
+three of them against a simulated store, simulated workers and a bad network.
+``controller`` moves what it leaves in ``outgoing``, ``questions``, ``replies``
+and ``news``, and carries out what ``next_batch``, ``membership.next_view`` and
+``leader.decide`` ask for.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+
+from . import constants as c
+from . import mesh as m
+from . import placement, policy, wire
+from .config import Platform, Tuning
+from .jobs import Home, Job, JobState, Record
+from .leader import Leader
+from .machines import Machine, Part
+from .net import Budget
+from .replica import Replica
+from .store import JOBS, MACHINES, MEMBERS, VIEW
+from .view import Membership, Standing, View
+
+log = logging.getLogger("node")
+_record = msgspec.json.Decoder(Record)
+
+
+@dataclass(eq=False)
+class Submission:
+    """A job on its way into the store."""
+
+    job: Job
+    outcome: str = ""  # "accepted" or "known"; empty: not decided
+
+
+@dataclass
+class Batch:
+    """One transaction, and whose records it carries."""
+
+    mandate: int
+    conditions: dict[str, int]
+    puts: dict[str, object] = field(default_factory=dict)
+    drops: list[str] = field(default_factory=list)
+    jobs: list[tuple[Job, Record, list[tuple[str, int, int]]]] = field(default_factory=list)
+    fresh: list[tuple[Submission, Record]] = field(default_factory=list)
+    machines: list[str] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
+
+
+class Node:
+    def __init__(self, platform: Platform, tuning: Tuning, now: float) -> None:
+        shared = platform.settings
+        self.me = platform.label
+        self.tuning, self.shared = tuning, shared
+        self.labels = [self.me, *(peer.label for peer in platform.peers)]
+        ttl = min(c.HOLD_TTL_S, shared.workers.cancel_s - shared.workers.lease_s - c.CANCEL_SLACK_S)
+        self.membership = Membership(self.me, ttl)
+        self.replica = Replica(self.membership)
+        self.home = Home(shared.teams, self.send, int(shared.state.value_kb * 1024))
+        self.home.part_of = self.membership.part_of
+        self.part = Part(self.me, shared.workers.lease_s, self.send, self.spec_of, self.home_of)
+        self.part.upto = self.upto
+        self.leader = Leader(shared.teams, shared.zones, tuning, self.replica, shared.cloud.list_lag_s)
+        self.channels = {peer.label: m.Channel(self.me) for peer in platform.peers}
+        self.inbox: deque[tuple[int, m.Message]] = deque()
+        self.local_sent = self.local_done = 0
+        self.now = now
+        self.loaded = False
+        self.incarnation = 0  # the permit under which home and part were last built
+        self.types: dict[str, wire.MachineType] = {}
+        self.offers: dict[str, tuple[float, list[m.QueueRow]]] = {}  # label -> receipt, rows
+        self.taken: dict[tuple[str, str], int] = {}
+        self.submissions: dict[str, Submission] = {}
+        self.dropping: list[str] = []  # machines whose records go
+        self.queue_times: dict[tuple[str, bool], list[float]] = {}
+        share = c.BUDGET_SHARE / len(self.labels)
+        self.write_budget = Budget(shared.state.write_rps * share, shared.state.write_rps * share, now)
+        self.room_at = 0.0
+        # left for the controller
+        self.outgoing: list[tuple[str, m.Frame]] = []
+        self.questions: deque[tuple[str, m.Ask]] = deque()
+        self.replies: deque[m.Reply] = deque()
+        self.news: deque[Submission | str] = deque()  # submissions decided, jobs whose end is stored
+
+    # -- small questions ---------------------------------------------------
+
+    def may_act(self) -> bool:
+        return self.loaded and self.membership.may_act(self.now)
+
+    def spec_of(self, job: str) -> wire.JobSpec | None:
+        known = self.home.jobs.get(job)
+        return known.spec if known is not None else self.replica.spec(job)
+
+    def home_of(self, job: str) -> str:
+        if job in self.home.jobs:
+            return self.me
+        label = self.replica.home_label(job)
+        return self.membership.home_of(label) if label else ""
+
+    def upto(self, label: str) -> int:
+        return self.local_done if label == self.me else self.channels[label].received
+
+    def due_in(self, spec: wire.JobSpec, age_s: float, guaranteed: bool) -> float:
+        key = (spec.id, guaranteed)
+        times = self.queue_times.get(key)
+        if times is None:
+            if len(self.queue_times) > c.QUEUE_ROWS * 4:
+                self.queue_times.clear()
+            times = policy.queue_times(spec, self.tuning, self.shared.objectives, guaranteed)
+            self.queue_times[key] = times
+        return policy.due_in(age_s, times)
+
+    def run_time(self, spec: wire.JobSpec) -> float:
+        return policy.expected_run_time(spec, self.tuning)
+
+    def known(self, job: str) -> bool:
+        return job in self.replica.ended or job in self.replica.active or job in self.home.jobs
+
+    # -- messages ------------------------------------------------------------
+
+    def send(self, label: str, body: m.Message) -> int:
+        """A message that must arrive; its number in the channel to that member."""
+        if label == self.me:
+            self.local_sent += 1
+            self.inbox.append((self.local_sent, body))
+            return self.local_sent
+        channel = self.channels.get(label)
+        if channel is None:
+            return 0
+        frame = channel.post(body, self.now)
+        self.outgoing.append((label, frame))
+        return frame.seq
+
+    def tell(self, label: str, body: m.Message) -> None:
+        """A message that may be lost."""
+        if label == self.me:
+            self.dispatch(label, body)
+        elif label in self.channels:
+            self.outgoing.append((label, self.channels[label].tell(body)))
+
+    def on_frame(self, frame: m.Frame, now: float) -> None:
+        self.now = now
+        channel = self.channels.get(frame.sender)
+        body = channel.receive(frame, now) if channel is not None else None
+        if body is not None:
+            self.dispatch(frame.sender, body)
+            self.pump()
+
+    def pump(self) -> None:
+        """Deliver messages to this controller itself, until none is left."""
+        while self.inbox:
+            seq, body = self.inbox.popleft()
+            self.local_done = seq
+            self.dispatch(self.me, body)
+
+    def dispatch(self, label: str, body: m.Message) -> None:
+        match body:
+            case m.Queue():
+                self.offers[label] = (self.now, body.rows)
+                for row in body.rows:
+                    self.taken.pop((label, row.job), None)
+                self.leader.on_queue(label, body, self.now)
+            case m.Room():
+                self.leader.on_room(label, body, self.now)
+            case m.Take():
+                self.home.on_take(label, body, self.now, self.may_act())
+            case m.Grant():
+                self.part.on_grant(body, self.now)
+            case m.Seen():
+                self.home.on_seen(label, body, self.now)
+            case m.Clear():
+                self.part.on_clear(body.machine, body.job, body.index, body.attempt)
+            case m.Halt():
+                self.part.on_halt(body)
+            case m.Allot():
+                self.home.allot(body.teams)
+            case m.Drain():
+                self.part.drain(body.machines)
+            case m.Gone():
+                self.dropping += self.part.on_gone(body.machines)
+            case m.Ask():
+                self.questions.append((label, body))
+            case m.Reply():
+                self.replies.append(body)
+            case _:
+                pass
+
+    # -- view ------------------------------------------------------------------
+
+    def apply(self, changes: list[wire.Change], now: float, wall: float) -> None:
+        """Changes of the store, in order."""
+        self.now = now
+        for change in changes:
+            if self.replica.apply(change):
+                self.enter_view(now, wall)
+
+    def load(self, rows: list[wire.Row], changes: list[wire.Change], epoch: int, now: float, wall: float) -> None:
+        """All rows, whose pages may be of different epochs, and what followed the first of them.
+
+        Nothing is built on the rows before the changes have caught up with them.
+        """
+        self.now = now
+        newer = False
+        self.replica.machines = {}
+        for row in rows:
+            newer = self.replica.apply(wire.Change(put=row.key, data=row.data, stamp=row.stamp)) or newer
+        for change in changes:
+            newer = self.replica.apply(change) or newer
+        self.replica.epoch = epoch
+        if newer:
+            self.enter_view(now, wall)
+        self.loaded = True
+        log.info("replica state=loaded epoch=%d jobs=%d", epoch, len(self.replica.active))
+
+    def enter_view(self, now: float, wall: float) -> None:
+        """Rebuild home, part and channels for the view that has just arrived."""
+        view, mandate = self.membership.view, self.membership.mandate
+        members = sorted(view.members)
+        log.info("view mandate=%d leader=%s members=%s", mandate, view.leader, members)
+        for channel in self.channels.values():
+            channel.reset(mandate, now)
+        self.inbox.clear()
+        self.offers.clear()
+        self.taken.clear()
+        inside = self.membership.standing(now) is not Standing.OUTSIDE
+        old = self.home.jobs if inside and self.incarnation == self.membership.hold.permit else {}
+        self.incarnation = self.membership.hold.permit if inside else 0
+        jobs: dict[str, Job] = {}
+        if inside:
+            for name, (record, stamp) in self.replica.active.items():
+                if self.membership.home_of(record.home) == self.me:
+                    job = old.get(name) or Job(record, stamp, now, max(0.0, wall - record.at))
+                    job.stamp = max(job.stamp, stamp)
+                    jobs[name] = job
+        self.home.enter(mandate, jobs, self.replica.machines if inside else ())
+        mine = [name for name in self.replica.machines if self.membership.part_of(name) == self.me] if inside else []
+        self.part.enter(mandate, members if inside else [], mine, now)
+        self.leader.enter(members, now)
+        self.pump()
+
+    def next_view(self, now: float) -> tuple[View, dict[str, int]] | None:
+        """The change of view to try, with the stamps to assert."""
+        change = self.membership.next_view(now) if self.loaded else None
+        if change is None:
+            return None
+        view, stamps = change
+        return view, {VIEW: self.membership.mandate, **{MEMBERS + label: stamp for label, stamp in stamps.items()}}
+
+    # -- records -------------------------------------------------------------------
+
+    def next_batch(self, now: float) -> Batch | None:
+        """One transaction of what is due, most urgent first, within the write budget."""
+        self.now = now
+        if not self.may_act():
+            return None
+        room = min(self.shared.state.txn_ops, int(self.write_budget.available(now)))
+        if room < 1:
+            return None
+        batch = Batch(self.membership.mandate, {VIEW: self.membership.mandate})
+        for name in self.part.to_record[:room]:
+            batch.machines.append(name)
+            batch.conditions[MACHINES + name] = 0
+            batch.puts[MACHINES + name] = {}
+        due = sorted(self.home.due_writes(now), key=lambda entry: entry[0])
+        queue: list[Job | Submission] = [job for rank, job in due if rank < 2.0]
+        queue += self.submissions.values()
+        queue += [job for rank, job in due if rank >= 2.0]
+        size = 0
+        for entry in queue:
+            if len(batch.puts) >= room:
+                break
+            job = entry.job if isinstance(entry, Submission) else entry
+            record = job.record(self.home.value_bytes)
+            size += len(msgspec.json.encode(record)) + 100
+            if size > c.MAX_BODY * 3 // 4 and batch.puts:
+                break
+            batch.conditions[JOBS + job.spec.id] = job.stamp
+            batch.puts[JOBS + job.spec.id] = record
+            if isinstance(entry, Submission):
+                batch.fresh.append((entry, record))
+            else:
+                job.changed_at = None
+                batch.jobs.append((job, record, list(job.to_clear)))
+        batch.gone = self.dropping[:max(0, room - len(batch.puts))]
+        batch.drops = [MACHINES + name for name in batch.gone]
+        if not batch.puts and not batch.drops:
+            return None
+        self.write_budget.spend(now, len(batch.puts) + len(batch.drops))
+        return batch
+
+    def batch_failed(self, batch: Batch, now: float) -> None:
+        """Refused, in conflict, or without an answer: all of it is due again."""
+        for job, _, _ in batch.jobs:
+            job.touch(now)
+
+    def batch_done(self, batch: Batch, stamp: int, now: float) -> None:
+        self.now = now
+        current = batch.mandate == self.membership.mandate
+        self.dropping = [name for name in self.dropping if name not in batch.gone]
+        for name in batch.machines:
+            self._recorded(name, stamp, current)
+        for job, record, cleared in batch.jobs:
+            if self.home.jobs.get(job.spec.id) is job:
+                self.home.written(job, record, stamp, cleared, now)
+            self._stored(job, record, stamp)
+        for submission, record in batch.fresh:
+            job = submission.job
+            job.stamp = stamp
+            self.replica.saw_job(job.spec.id, record, stamp)
+            if current:  # else the view that has arrived since gave it to its home
+                self.home.jobs[job.spec.id] = job
+            self._settle(submission, "accepted")
+        self.pump()
+
+    def _stored(self, job: Job, record: Record, stamp: int) -> None:
+        self.replica.saw_job(job.spec.id, record, stamp)
+        if record.state is not JobState.ACTIVE:
+            self.news.append(job.spec.id)
+        if job.drained and self.home.jobs.get(job.spec.id) is job:
+            del self.home.jobs[job.spec.id]
+
+    def _recorded(self, name: str, stamp: int, current: bool) -> None:
+        self.replica.machines.setdefault(name, stamp)
+        if name in self.part.to_record:
+            self.part.to_record.remove(name)
+        if name in self.part.machines and current:
+            self.part.machines[name].recorded = True
+
+    def reread(self, batch: Batch, key: str, row: wire.Row | None, now: float) -> None:
+        """What the store holds under a key whose condition failed: decide anew."""
+        self.now = now
+        current = batch.mandate == self.membership.mandate
+        if row is None:
+            return
+        if key.startswith(MACHINES):
+            name = key[len(MACHINES):]
+            if name in batch.machines:
+                self._recorded(name, row.stamp, current)  # an earlier write of ours had no answer
+            return
+        record = _record.decode(row.data)
+        name = key[len(JOBS):]
+        for submission, _ in batch.fresh:
+            job = submission.job
+            if job.spec.id == name and not submission.outcome:
+                self.replica.saw_job(name, record, row.stamp)
+                ours = record.home == self.me and record.at == job.at and record.state is JobState.ACTIVE
+                if ours and current and name not in self.home.jobs:
+                    job.stamp = row.stamp  # an earlier write of ours had no answer
+                    self.home.jobs[name] = job
+                self._settle(submission, "known")
+        for job, _, _ in batch.jobs:
+            if job.spec.id == name and self.home.jobs.get(name) is job:
+                # Only its home writes it under this view: an earlier write of ours.
+                job.stamp = row.stamp
+                if record.state is not JobState.ACTIVE:
+                    job.end(record.state)
+                    self.home.written(job, record, row.stamp, [], now)
+                    job.touch(now)
+                self._stored(job, record, row.stamp)
+        self.pump()
+
+    def submit(self, spec: wire.JobSpec, now: float, wall: float) -> Submission | None:
+        """Queue a job for the store; None where its record would not fit."""
+        self.now = now
+        if spec.id in self.submissions:
+            return self.submissions[spec.id]
+        record = Record(JobState.ACTIVE, self.me, wall, min(spec.tasks, c.MARK_AHEAD), [], spec)
+        if len(msgspec.json.encode(record)) > self.home.value_bytes - 64:
+            return None
+        submission = self.submissions[spec.id] = Submission(Job(record, 0, now, 0.0, fresh=True))
+        return submission
+
+    def _settle(self, submission: Submission, outcome: str) -> None:
+        submission.outcome = outcome
+        self.submissions.pop(submission.job.spec.id, None)
+        self.news.append(submission)
+
+    # -- workers -------------------------------------------------------------------
+
+    def beat(self, beat: wire.Beat, now: float) -> Machine | None:
+        """A report of a machine of this part; None where it must not be answered with 200."""
+        self.now = now
+        machine = self.part.on_beat(beat, now)
+        self.pump()
+        if machine is not None and machine.acked:
+            self.place(machine, now)
+        return machine
+
+    def place(self, machine: Machine, now: float) -> None:
+        """Ask homes for tasks that fit this machine, soonest deadline first."""
+        candidate = self.part.candidate(machine, now)
+        if candidate is None:
+            return
+        queue = []
+        for label, (since, rows) in self.offers.items():
+            for row in rows:
+                left = row.offer - self.taken.get((label, row.job), 0)
+                spec = self.spec_of(row.job)
+                if left > 0 and spec is not None:
+                    due = row.due_in_s - (now - since)
+                    queue.append((due, label, msgspec.structs.replace(row, offer=left), spec))
+        queue.sort(key=lambda entry: entry[:2])
+        for want in placement.plan([candidate], [entry[1:] for entry in queue]):
+            take = self.part.reserve(machine, want.job, want.count)
+            key = (want.home, want.job)
+            self.taken[key] = self.taken.get(key, 0) + want.count
+            self.send(want.home, m.Take(take, want.job, want.machine, want.zone, want.count))
+        self.pump()
+
+    # -- rounds ----------------------------------------------------------------------
+
+    def round(self, now: float) -> None:
+        self.now = now
+        members = self.membership.view.members
+        if self.membership.standing(now) is Standing.OUTSIDE:
+            for label in self.channels:
+                self.tell(label, m.Pulse())
+            return
+        mandate = self.membership.mandate
+        if all(self.channels[label].peer_mandate >= mandate for label in members if label != self.me):
+            self.part.settle(now)
+        if self.may_act():
+            self.part.check_leases(now)
+        queue = m.Queue(self.home.rows(now, self.due_in, self.run_time), self.home.held(), self.home.want(),
+                        self.home.allots)
+        for label in self.labels:
+            self.tell(label, queue if label in members else m.Pulse())
+        for label, channel in self.channels.items():
+            self.outgoing += [(label, frame) for frame in channel.resend(now)]
+        if now - self.room_at >= c.LEADER_ROUND_S:
+            self.room_at = now
+            self.tell(self.membership.view.leader, m.Room(self.part.room(now, self.run_time)))
+        if self.membership.leads(now):
+            for label, teams in self.leader.allots().items():
+                self.send(label, m.Allot(teams))
+        self.pump()
+
+    def returned(self, names: list[str], now: float) -> None:
+        """The cloud has confirmed a return: everybody is told."""
+        self.now = now
+        self.leader.on_returned(names)
+        for label in self.membership.view.members:
+            self.send(label, m.Gone(names))
+        self.pump()
+
+    def drain(self, names: list[str], now: float) -> None:
+        self.now = now
+        by_part: dict[str, list[str]] = {}
+        for name in names:
+            by_part.setdefault(self.membership.part_of(name), []).append(name)
+        for label, part in by_part.items():
+            self.send(label, m.Drain(part))
+        self.pump()
+
+    # -- users -------------------------------------------------------------------------
+
+    def state_here(self, job: str, now: float) -> tuple[str, int, int] | None:
+        """From memory: an end that the store holds, or this home's own job."""
+        self.now = now
+        ended = self.replica.ended.get(job)
+        if ended is not None:
+            return ended.value, 0, 0
+        mine = self.home.jobs.get(job)
+        if mine is None or not self.may_act():
+            return None
+        if mine.stored_state is not JobState.ACTIVE:
+            return mine.stored_state.value, mine.done.count, 0
+        running = mine.running
+        return "running" if running else "pending", mine.done.count, running
+
+    def withdraw(self, job: str, now: float) -> str | None:
+        """The job's stored state, "" while its end is being written, None where this is not its home."""
+        self.now = now
+        if job in self.replica.ended:
+            return self.replica.ended[job].value
+        mine = self.home.jobs.get(job)
+        if mine is None or not self.may_act():
+            return None
+        if mine.stored_state is JobState.ACTIVE:
+            mine.abort(now)
+            return ""
+        return mine.stored_state.value
