--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,681 @@
+"""A small simulated world: store, cloud, workers, users and a bad network around three pure nodes.
+
+Everything is drawn from one seed. The rules of the protocol are asserted after
+each step that could break them; ``Broken`` names the rule.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import math
+import random
+from collections import deque
+
+import msgspec
+
+from alderbridge import constants as c
+from alderbridge import mesh as m
+from alderbridge import placement, wire
+from alderbridge.config import Cloud as CloudSettings
+from alderbridge.config import Endpoints, Limits, Peer, Platform, Shared, State, Team, Tuning, Workers
+from alderbridge.jobs import JobState, Record
+from alderbridge.node import Node
+from alderbridge.store import JOBS, MEMBERS, ROOT, VIEW
+from alderbridge.view import Presence
+
+LABELS = ["host-0", "host-1", "host-2"]
+LEASE_S, CANCEL_S, REPORT_S = 17.0, 42.0, 3.0
+ZONES = ["a", "b"]
+TYPES = {
+    "small": wire.MachineType(name="small", cpus=4.0, memory_gb=16.0, price=0.3, spot_price=0.1, boot_s=8.0,
+                              cache_gb=10.0, zones=ZONES),
+    "large": wire.MachineType(name="large", cpus=16.0, memory_gb=64.0, price=1.1, spot_price=0.4, boot_s=10.0,
+                              cache_gb=20.0, zones=ZONES),
+}
+TEAMS = [Team("free"), Team("bound", cpus=8.0, cpus_max=16.0)]
+
+
+class Broken(AssertionError):
+    """A rule of the protocol was broken."""
+
+
+def platform(label: str) -> Platform:
+    peers = [Peer(other, "a", "127.0.0.1:1") for other in LABELS if other != label]
+    shared = Shared(ZONES, TEAMS, Workers(REPORT_S, LEASE_S, CANCEL_S), State(100.0, 60.0, 4.0, 12),
+                    CloudSettings(6.0, 4.0), Limits(0.75, 186.0, 1000))
+    return Platform(label, "a", "127.0.0.1:1", "127.0.0.1:2", peers, Endpoints("127.0.0.1:3", "127.0.0.1:4"), shared)
+
+
+class Refused(Exception):
+    pass
+
+
+class SimStore:
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.data: dict[str, tuple[bytes, int, int | None]] = {}
+        self.epoch = 0
+        self.log: list[wire.Change] = []
+        self.holds: dict[int, float] = {}
+        self.permits = itertools.count(1)
+        self.down_until = 0.0
+
+    def check(self) -> None:
+        if self.world.t < self.down_until:
+            raise Refused
+        for permit in [p for p, end in self.holds.items() if end < self.world.t]:
+            self.end(permit)
+
+    def outage(self, for_s: float) -> None:
+        self.down_until = self.world.t + for_s
+        for permit in self.holds:
+            self.holds[permit] = self.down_until + c.HOLD_TTL_S
+
+    def end(self, permit: int) -> None:
+        if self.holds.pop(permit, None) is None:
+            return
+        self.epoch += 1
+        for key in [k for k, v in self.data.items() if v[2] == permit]:
+            del self.data[key]
+            self.log.append(wire.Change(drop=key, stamp=self.epoch))
+
+    def commit(self, conditions: dict[str, int], puts: dict[str, object], drops=(), permit=None) -> wire.Committed:
+        self.check()
+        failed = [k for k, stamp in conditions.items() if (self.data[k][1] if k in self.data else 0) != stamp]
+        if failed:
+            return wire.Committed(self.epoch, failed)
+        assert len(puts) + len(drops) <= 12
+        self.epoch += 1
+        for key, value in puts.items():
+            raw = msgspec.json.encode(value)
+            assert len(raw) <= 4 * 1024, f"{key} is too long"
+            self.data[key] = (raw, self.epoch, permit)
+            self.log.append(wire.Change(put=key, data=msgspec.Raw(raw), stamp=self.epoch))
+        for key in drops:
+            if self.data.pop(key, None) is not None:
+                self.log.append(wire.Change(drop=key, stamp=self.epoch))
+        return wire.Committed(self.epoch)
+
+    def rows(self) -> list[wire.Row]:
+        return [wire.Row(k, msgspec.Raw(v), s) for k, (v, s, _) in sorted(self.data.items()) if k.startswith(ROOT)]
+
+    def since(self, epoch: int) -> list[wire.Change]:
+        return [change for change in self.log if change.stamp > epoch]
+
+
+class SimNode:
+    """One controller process: its loops as events, its calls with delays, losses and late arrivals."""
+
+    def __init__(self, world: World, label: str) -> None:
+        self.world, self.label = world, label
+        self.cut_store_until = self.cut_mesh_until = self.cut_workers_until = 0.0
+        self.links = {other: 0.0 for other in LABELS}  # arrival time of the last frame: order is kept
+        self.life = 0
+        self.node: Node | None = None
+        self.start()
+
+    def start(self) -> None:
+        self.life += 1
+        world, life = self.world, self.life
+        self.node = Node(platform(self.label), Tuning(), world.t)
+        self.node.types = self.node.part.types = TYPES
+        self.node.leader.on_types(TYPES)
+        self.busy = False
+        self.follow_busy = False
+        self.rents = 0
+        for step, pause in ((self.hold, 1.5), (self.follow, 0.15), (self.view, c.ROUND_S), (self.write, 0.05),
+                            (self.round, c.ROUND_S), (self.lead, c.LEADER_ROUND_S)):
+            world.after(world.rng.random() * 0.2, self.loop, life, step, pause)
+
+    def crash(self) -> None:
+        self.life += 1
+        self.node = None
+
+    def loop(self, life: int, step, pause: float) -> None:
+        if life == self.life:
+            step()
+            self.flush()
+            self.world.after(pause, self.loop, life, step, pause)
+
+    def call(self, then, fail, method, *args) -> None:
+        """A call to the store: may be refused, lost, unanswered, or carried out late."""
+        world, life, rng = self.world, self.life, self.world.rng
+        cut = world.t < self.cut_store_until
+
+        def settle(answer) -> None:
+            if life == self.life:
+                (fail if answer is None else lambda: then(answer))()
+                self.flush()
+
+        def carry_out(answered: bool) -> None:
+            try:
+                answer = method(*args)
+            except Refused:
+                answer = None
+            if answered:
+                world.after(rng.uniform(0.001, 0.01), settle, answer)
+
+        lost = rng.random()
+        if cut or lost < 0.01:
+            if not cut or rng.random() < 0.5:
+                world.after(rng.uniform(0.5, 30.0), carry_out, False)  # a late transaction
+            world.after(2.0, settle, None)
+        else:
+            world.after(rng.uniform(0.001, 0.01), carry_out, True)
+
+    def hold(self) -> None:
+        node, store, world, sent = self.node, self.world.store, self.world, self.world.t
+        hold = node.membership.hold
+
+        def extend():
+            store.check()
+            if hold.permit not in store.holds:
+                return False
+            store.holds[hold.permit] = world.t + hold.ttl_s
+            return True
+
+        def extended(good):
+            if good:
+                hold.renewed(hold.permit, sent)
+            else:
+                hold.lost()
+
+        def acquire():
+            store.check()
+            key = MEMBERS + self.label
+            if key in store.data:
+                store.end(json.loads(store.data[key][0])["permit"])
+            permit = next(store.permits)
+            store.holds[permit] = world.t + hold.ttl_s
+            store.commit({key: 0}, {key: Presence(permit)}, (), permit)
+            return permit
+
+        if hold.permit:
+            self.call(extended, lambda: None, extend)
+        else:
+            self.call(lambda permit: hold.renewed(permit, sent), lambda: None, acquire)
+
+    def follow(self) -> None:
+        node, store, world = self.node, self.world.store, self.world
+        if self.follow_busy:
+            return
+        self.follow_busy = True
+
+        def read():
+            store.check()
+            if node.loaded:
+                return [], store.since(node.replica.epoch), store.epoch
+            return store.rows(), [], store.epoch
+
+        def done(answer):
+            self.follow_busy = False
+            rows, changes, epoch = answer
+            if node.loaded:
+                node.apply(changes, world.t, world.t)
+                node.replica.epoch = epoch
+            else:
+                node.load(rows, changes, epoch, world.t, world.t)
+
+        def failed():
+            self.follow_busy = False
+
+        self.call(done, failed, read)
+
+    def view(self) -> None:
+        change = self.node.next_view(self.world.t)
+        if change is not None:
+            view, conditions = change
+            self.call(lambda _: None, lambda: None, self.world.store.commit, conditions, {VIEW: view})
+
+    def write(self) -> None:
+        if self.busy:
+            return
+        node, world = self.node, self.world
+        batch = node.next_batch(world.t)
+        if batch is None:
+            return
+        self.busy = True
+
+        def done(answer):
+            self.busy = False
+            if answer.failed:
+                node.batch_failed(batch, world.t)
+                if VIEW not in answer.failed:
+                    for key in answer.failed:
+                        self.call(lambda row, key=key: node.reread(batch, key, row[0], world.t), lambda: None,
+                                  self.read, key)
+            else:
+                node.batch_done(batch, answer.epoch, world.t)
+            self.tell_users()
+
+        def failed():
+            self.busy = False
+            node.batch_failed(batch, world.t)
+
+        self.call(done, failed, world.store.commit, batch.conditions, batch.puts, batch.drops)
+
+    def read(self, key: str):
+        self.world.store.check()
+        found = self.world.store.data.get(key)
+        return [None if found is None else wire.Row(key, msgspec.Raw(found[0]), found[1])]
+
+    def tell_users(self) -> None:
+        while self.node.news:
+            item = self.node.news.popleft()
+            if not isinstance(item, str) and item.outcome == "accepted":
+                self.world.accepted.add(item.job.spec.id)
+
+    def round(self) -> None:
+        self.node.round(self.world.t)
+
+    def lead(self) -> None:
+        node, world = self.node, self.world
+        if not node.membership.leads(world.t):
+            return
+        node.leader.on_listing(world.listing(), world.t)
+        decision = node.leader.decide(world.t)
+        node.drain(decision.drain, world.t)
+        for kind, count in decision.rent:
+            node.leader.on_rented(kind, world.rent(kind, count), world.t)
+        if decision.give_back and world.rng.random() < 0.95:
+            world.remove(decision.give_back)
+            if world.rng.random() < 0.95:
+                node.returned(decision.give_back, world.t)
+
+    def flush(self) -> None:
+        if self.node is None:
+            return
+        world = self.world
+        outgoing, self.node.outgoing = self.node.outgoing, []
+        for label, frame in outgoing:
+            other = world.nodes[label]
+            if world.t < self.cut_mesh_until or world.t < other.cut_mesh_until or world.rng.random() < 0.002:
+                continue
+            delay = 5.0 * world.rng.random() if world.rng.random() < 0.001 else world.rng.uniform(0.0005, 0.003)
+            at = max(self.links[label] + 1e-6, world.t + delay)
+            self.links[label] = at
+            data = msgspec.msgpack.encode(frame)
+            world.after(at - world.t, other.frame, data)
+
+    def frame(self, data: bytes) -> None:
+        if self.node is not None:
+            self.node.on_frame(msgspec.msgpack.decode(data, type=m.Frame), self.world.t)
+            self.flush()
+
+    def beat(self, raw: bytes, reply) -> None:
+        """``reply(status, body)`` after the grants had a moment to arrive."""
+        world, life = self.world, self.life
+        if self.node is None or world.t < self.cut_workers_until:
+            return
+        node = self.node
+        beat = wire.parse_beat(raw)
+        if not node.loaded or not node.membership.may_act(world.t):
+            return reply(503, b"")
+        owner = node.membership.part_of(beat.machine)
+        if owner != self.label:
+            return reply(421, owner.encode())
+        mandate = node.membership.mandate
+        machine = node.beat(beat, world.t)
+        self.flush()
+        if machine is None:
+            return reply(503, b"")
+
+        def finish() -> None:
+            if life != self.life:
+                return
+            if mandate != node.membership.mandate or not node.membership.may_act(world.t):
+                return reply(503, b"")
+            reply(200, wire.beat_answer(mandate, node.part.orders(machine)))
+
+        world.after(0.02, finish)
+        return None
+
+
+class SimTask:
+    def __init__(self, attempt: int, status: str, ends: float) -> None:
+        self.attempt, self.status, self.ends, self.cause = attempt, status, ends, None
+
+
+class SimWorker:
+    def __init__(self, world: World, name: str, kind) -> None:
+        self.world, self.name, self.kind = world, name, kind
+        self.tenure, self.counter, self.mandate = 1, 0, 0
+        self.tasks: dict[str, SimTask] = {}
+        self.answered_at = world.t  # when the last answered report was sent
+        self.node = world.rng.choice(LABELS)
+        self.alive = self.up = True
+        self.hangs_until = self.cut_until = 0.0
+        self.in_flight = 0
+        self.faulty = False
+        self.recall_at: float | None = None
+        self.send_beat()
+
+    def kill(self) -> None:
+        for part in self.tasks:
+            self.world.left(part, self.name)
+        self.tasks.clear()
+
+    def tick(self) -> None:
+        """Lease and progress of tasks."""
+        world = self.world
+        if not self.alive:
+            return
+        if world.t - self.answered_at > LEASE_S:  # holds on a hanging machine too
+            self.kill()
+            self.tenure += 1
+            self.counter = 0
+            self.answered_at = world.t
+        if world.t < self.hangs_until:
+            return
+        for part, task in self.tasks.items():
+            if task.status == "fetching" and world.t >= task.ends:
+                world.entered(part, self)
+                task.status, task.ends = "running", world.t + world.run_time(part)
+            elif task.status == "running" and world.t >= task.ends:
+                task.status, task.cause = "ended", "error" if self.faulty else "done"
+                world.left(part, self.name)
+                if task.cause == "done":
+                    world.completed.add(part)
+
+    def send_beat(self) -> None:
+        world = self.world
+        if not self.alive:
+            return
+        if world.t < self.hangs_until:
+            world.after(self.hangs_until - world.t, self.send_beat)
+            return
+        self.tick()
+        self.counter += 1
+        self.in_flight += 1
+        number, tenure, sent = self.in_flight, self.tenure, world.t
+        beat = {"host": self.name, "address": "x", "flavour": self.kind.type, "site": self.kind.zone,
+                "standby": self.kind.spot, "tenure": self.tenure, "counter": self.counter, "mandate": self.mandate,
+                "recall_s": None if self.recall_at is None else max(0.0, self.recall_at - world.t),
+                "parts": [{"part": p, "try": k.attempt, "status": k.status, "cause": k.cause}
+                          for p, k in self.tasks.items()]}
+        raw = json.dumps(beat).encode()
+
+        def reply(status: int, body: bytes) -> None:
+            if world.t >= self.cut_until:
+                world.after(world.rng.uniform(0.001, 0.01), self.answered, number, tenure, sent, status, body)
+
+        def arrive() -> None:
+            world.nodes[self.node].beat(raw, reply)
+
+        if world.t >= self.cut_until:
+            world.after(world.rng.uniform(0.001, 0.01), arrive)
+        elif world.rng.random() < 0.3:
+            world.after(world.rng.uniform(1.0, 40.0), arrive)  # held back, and delivered late
+        world.after(4.0, self.timeout, number)
+
+    def timeout(self, number: int) -> None:
+        if number == self.in_flight:
+            self.in_flight += 1  # whatever comes now is dropped
+            self.next_node()
+
+    def next_node(self) -> None:
+        self.node = LABELS[(LABELS.index(self.node) + 1) % len(LABELS)]
+        self.world.after(1.0, self.send_beat)
+
+    def answered(self, number: int, tenure: int, sent: float, status: int, body: bytes) -> None:
+        world = self.world
+        if number != self.in_flight or not self.alive or world.t < self.hangs_until:
+            return
+        self.in_flight += 1
+        if status == 421 and body.decode() in LABELS:
+            self.node = body.decode()
+            world.after(world.rng.uniform(0.0, 0.5), self.send_beat)
+            return
+        if status != 200:
+            self.next_node()
+            return
+        self.tick()
+        answer = json.loads(body)
+        higher = answer["mandate"] > self.mandate
+        if tenure == self.tenure and answer["mandate"] >= self.mandate:
+            self.mandate = answer["mandate"]
+            self.answered_at = sent
+            for order in answer["orders"]:
+                self.carry_out(order)
+        world.after(0.5 if higher or answer["orders"] else REPORT_S * world.rng.uniform(0.75, 1.25), self.send_beat)
+
+    def carry_out(self, order: dict) -> None:
+        part, held = order["part"], self.tasks.get(order["part"])
+        if order["verb"] == "run":
+            if held is None:
+                status = SimTask(order["try"], "fetching", self.world.t + self.world.rng.uniform(0.1, 3.0))
+                self.tasks[part] = status
+            elif held.attempt != order["try"]:
+                raise Broken(f"busy: {part} on {self.name}")
+        elif held is not None and held.attempt == order["try"]:
+            if order["verb"] == "halt" and held.status != "ended":
+                held.status, held.cause = "ended", "halted"
+                self.world.left(part, self.name)
+            elif order["verb"] == "clear" and held.status == "ended":
+                del self.tasks[part]
+
+
+class World:
+    def __init__(self, seed: int, jobs: int = 14, trouble: bool = True) -> None:
+        self.rng = random.Random(seed)
+        self.t = 0.0
+        self.events: list = []
+        self.order = itertools.count()
+        self.store = SimStore(self)
+        self.machines: dict[str, SimWorker | None] = {}
+        self.kinds: dict[str, tuple] = {}
+        self.lagging: deque = deque()
+        self.specs: dict[str, wire.JobSpec] = {}
+        self.on: dict[str, str] = {}  # task -> the machine it is on
+        self.accepted: set[str] = set()
+        self.completed: set[str] = set()
+        self.starts = 0
+        self.said: dict[str, str] = {}  # ends told to users
+        self.cancelled_at: dict[str, float] = {}
+        self.nodes: dict[str, SimNode] = {}
+        for label in LABELS:
+            self.nodes[label] = SimNode(self, label)
+        for number in range(jobs):
+            self.after(self.rng.uniform(1.0, 90.0), self.submit, self.make_job(number))
+        if trouble:
+            for _ in range(self.rng.randint(3, 7)):
+                self.after(self.rng.uniform(10.0, 130.0), self.trouble)
+        self.after(1.0, self.watch)
+
+    def after(self, delay: float, call, *args) -> None:
+        heapq.heappush(self.events, (self.t + delay, next(self.order), call, args))
+
+    def run(self, until: float) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.t, _, call, args = heapq.heappop(self.events)
+            call(*args)
+
+    # -- users
+
+    def make_job(self, number: int) -> wire.JobSpec:
+        rng = self.rng
+        array = rng.random() < 0.9
+        return wire.JobSpec(
+            id=f"wk-{rng.randrange(10**6):06d}{number:02d}", job_class="x", team=rng.choice(["free", "bound"]),
+            kind="sweep" if array else "standing", priority=rng.choice(wire.PRIORITIES),
+            tasks=rng.randint(1, 14) if array else 2, cpus=rng.choice([1.0, 2.0, 4.0]), memory_gb=2.0,
+            image=rng.choice("pqr"), image_gb=1.0, estimate_s=rng.uniform(2.0, 20.0) if array else 0.0,
+            types=rng.choice([None, None, ["large"]]), zone=rng.choice([None, None, "a"]),
+            one_zone=rng.random() < 0.15, spread=rng.random() < 0.15, spot=rng.random() < 0.7)
+
+    def run_time(self, part: str) -> float:
+        spec = self.specs[wire.split_task(part)[0]]
+        return math.inf if spec.service else spec.estimate_s * self.rng.uniform(0.5, 1.5)
+
+    def submit(self, spec: wire.JobSpec) -> None:
+        self.specs[spec.id] = spec
+        node = self.nodes[self.rng.choice(LABELS)].node
+        if spec.id in self.accepted:
+            self.after(self.rng.uniform(1.0, 5.0), self.poll, spec.id)
+            if spec.service or self.rng.random() < 0.15:
+                self.after(self.rng.uniform(5.0, 60.0), self.withdraw, spec.id)
+            return
+        if node is not None and node.types and node.membership.may_act(self.t) and node.loaded:
+            if not node.known(spec.id):
+                node.submit(spec, self.t, self.t)
+        self.after(1.5, self.submit, spec)
+
+    def answer(self, job: str, state: str) -> None:
+        before = self.said.get(job)
+        if before is not None and state != before:
+            raise Broken(f"went_back: {job} {before} -> {state}")
+        if state == "done":
+            missing = [i for i in range(self.specs[job].tasks) if f"{job}/{i}" not in self.completed]
+            if missing:
+                raise Broken(f"not_done: {job} lacks {missing}")
+            self.said[job] = state
+        elif state == "aborted":
+            if job not in self.cancelled_at:
+                raise Broken(f"went_back: {job} was never cancelled")
+            self.said[job] = state
+
+    def poll(self, job: str) -> None:
+        """As a node answers: from memory, by its home, or from the store."""
+        sim = self.nodes[self.rng.choice(LABELS)]
+        if sim.node is not None:
+            state = sim.node.state_here(job, self.t)
+            if state is not None:
+                self.answer(job, state[0])
+            elif self.t >= sim.cut_store_until and self.t >= self.store.down_until:
+                found = self.store.data.get(JOBS + job)
+                if found is None:
+                    raise Broken(f"forgotten: {job}")
+                record = msgspec.json.decode(found[0], type=Record)
+                self.answer(job, "pending" if record.state is JobState.ACTIVE else record.state.value)
+        self.after(self.rng.uniform(1.0, 6.0), self.poll, job)
+
+    def withdraw(self, job: str) -> None:
+        if job in self.said:
+            return
+        for label in LABELS:
+            node = self.nodes[label].node
+            if node is not None and node.home_of(job) == label:
+                self.cancelled_at.setdefault(job, math.inf)
+                state = node.withdraw(job, self.t)
+                if state:
+                    self.answer(job, state)
+                    if state == "aborted":
+                        self.cancelled_at[job] = min(self.cancelled_at[job], self.t)
+                        return
+        self.after(1.0, self.withdraw, job)
+
+    # -- rules
+
+    def entered(self, part: str, worker: SimWorker) -> None:
+        job = wire.split_task(part)[0]
+        spec = self.specs[job]
+        if part in self.on:
+            raise Broken(f"ran_twice: {part} on {self.on[part]} and {worker.name} at {self.t:.2f}")
+        zones = [self.machines[name].kind.zone for p, name in self.on.items()
+                 if wire.split_task(p)[0] == job and self.machines.get(name)]
+        zones.append(worker.kind.zone)
+        if (not placement.allowed(spec, worker.kind.type, worker.kind.zone, worker.kind.spot)
+                or (spec.one_zone and len(set(zones)) > 1)
+                or (spec.spread and zones.count(worker.kind.zone) > math.ceil(spec.tasks / 2))):
+            raise Broken(f"wrong_place: {part} on {worker.name}")
+        self.on[part] = worker.name
+        self.starts += 1
+        for team in TEAMS:
+            used = sum(self.specs[wire.split_task(p)[0]].cpus for p in self.on
+                       if self.specs[wire.split_task(p)[0]].team == team.name)
+            if team.cpus_max and used > team.cpus_max + 1e-9:
+                raise Broken(f"quota: {team.name} uses {used}")
+        if self.t > self.cancelled_at.get(job, math.inf) + CANCEL_S:
+            raise Broken(f"ran_cancelled: {part}")
+
+    def left(self, part: str, machine: str) -> None:
+        if self.on.get(part) == machine:
+            del self.on[part]
+
+    def watch(self) -> None:
+        for worker in self.machines.values():
+            if worker is not None:
+                worker.tick()
+                if worker.recall_at is not None and self.t >= worker.recall_at:
+                    self.remove([worker.name])
+        for part, machine in self.on.items():
+            if self.t > self.cancelled_at.get(wire.split_task(part)[0], math.inf) + CANCEL_S:
+                raise Broken(f"ran_cancelled: {part} on {machine}")
+        self.after(0.25, self.watch)
+
+    # -- cloud
+
+    def rent(self, kind, count: int) -> list[str]:
+        names = []
+        for _ in range(count):
+            if sum(worker is not None for worker in self.machines.values()) >= 14:
+                break
+            name = f"n-{len(self.machines):06d}"
+            self.machines[name] = None
+            self.kinds[name] = (kind, self.t)
+            names.append(name)
+            if self.rng.random() > 0.05:
+                boot = self.rng.uniform(0.5, 1.5) * TYPES[kind.type].boot_s
+                self.after(boot, self.boot, name, kind)
+        return names
+
+    def boot(self, name: str, kind) -> None:
+        if name in self.kinds:
+            self.machines[name] = SimWorker(self, name, kind)
+
+    def remove(self, names: list[str]) -> None:
+        for name in names:
+            worker = self.machines.get(name)
+            if worker is not None:
+                worker.kill()
+                worker.alive = False
+                self.machines[name] = None
+            self.kinds.pop(name, None)
+
+    def listing(self) -> list[wire.Listed]:
+        now = [wire.Listed(name, kind.type, "running" if self.machines[name] else "booting", self.t - at - 4.0,
+                           kind.zone, kind.spot) for name, (kind, at) in self.kinds.items() if self.t - at > 4.0]
+        self.lagging.append(now)
+        return self.lagging.popleft() if len(self.lagging) > 4 else []
+
+    # -- trouble
+
+    def trouble(self) -> None:
+        rng = self.rng
+        sim = self.nodes[rng.choice(LABELS)]
+        workers = [worker for worker in self.machines.values() if worker is not None]
+        kind = rng.choice(["crash", "crash", "crash_all", "cut", "cut_store", "cut_workers", "cut_mesh", "outage",
+                           "die", "hang", "cut_machine", "faulty", "recall"])
+        length = rng.uniform(2.0, 40.0)
+        if kind.startswith("crash"):
+            for victim in self.nodes.values() if kind == "crash_all" else [sim]:
+                victim.crash()
+                self.after(rng.uniform(1.0, 6.0), self.restart, victim)
+        elif kind == "outage":
+            self.store.outage(min(length, 25.0))
+        elif kind.startswith("cut") and kind != "cut_machine":
+            if kind in ("cut", "cut_store"):
+                sim.cut_store_until = self.t + length
+            if kind in ("cut", "cut_mesh"):
+                sim.cut_mesh_until = self.t + length
+            if kind in ("cut", "cut_workers"):
+                sim.cut_workers_until = self.t + length
+        elif workers:
+            worker = rng.choice(workers)
+            if kind == "die":
+                worker.kill()
+                worker.alive = False
+            elif kind == "hang":
+                worker.hangs_until = self.t + length
+            elif kind == "cut_machine":
+                worker.cut_until = self.t + length
+            elif kind == "faulty":
+                worker.faulty = not worker.faulty
+            else:
+                worker.recall_at = self.t + rng.uniform(2.0, 15.0)
+
+    def restart(self, sim: SimNode) -> None:
+        if sim.node is None:
+            sim.start()
