Place by priority within what can still be in time; late work goes last

Cause: soonest deadline alone lets every class come due at once when machines are full, and work that has missed all its aims kept others from theirs. Ruled out: capacity (1,020 of 1,024 CPUs were busy).

--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -366,8 +366,8 @@
 
     # -- queue and grants --------------------------------------------------
 
-    def rows(self, now: float, due_in: Callable[[JobSpec, float, bool], float], run_time: Callable[[JobSpec], float]
-             ) -> list[QueueRow]:
+    def rows(self, now: float, due_in: Callable[[JobSpec, float, bool], tuple[float, bool]],
+             run_time: Callable[[JobSpec], float]) -> list[QueueRow]:
         used = self.used()
         owed: dict[str, float] = {}
         rows = []
@@ -384,9 +384,9 @@
                 offer = ready
             team = self.usage.teams.get(spec.team)
             guaranteed = team is not None and team.cpus > 0 and owed[spec.team] <= team.cpus
-            rows.append(QueueRow(spec.id, job.waiting, offer if fits else 0,
-                                 due_in(spec, now - job.arrived, guaranteed), run_time(spec), zone,
-                                 now - job.arrived, guaranteed))
+            due, late = due_in(spec, now - job.arrived, guaranteed)
+            rows.append(QueueRow(spec.id, job.waiting, offer if fits else 0, due, run_time(spec), zone,
+                                 now - job.arrived, late, guaranteed))
         rows.sort(key=lambda row: row.due_in_s)
         return rows[:c.QUEUE_ROWS]
 
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -40,6 +40,7 @@
     run_s: float  # Expected Run Time
     zone: str | None  # the only zone it may use now, if any
     waited_s: float
+    late: bool  # has missed every Maximum Queue Time
     guaranteed: bool  # lies within its team's guarantee
 
 
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -106,7 +106,7 @@
     def upto(self, label: str) -> int:
         return self.local_done if label == self.me else self.channels[label].received
 
-    def due_in(self, spec: wire.JobSpec, age_s: float, guaranteed: bool) -> float:
+    def due_in(self, spec: wire.JobSpec, age_s: float, guaranteed: bool) -> tuple[float, bool]:
         key = (spec.id, guaranteed)
         times = self.queue_times.get(key)
         if times is None:
@@ -377,6 +377,8 @@
         return submission
 
     def _settle(self, submission: Submission, outcome: str) -> None:
+        spec = submission.job.spec
+        log.info("job=%s state=%s class=%s team=%s tasks=%d", spec.id, outcome, spec.job_class, spec.team, spec.tasks)
         submission.outcome = outcome
         self.submissions.pop(submission.job.spec.id, None)
         self.news.append(submission)
@@ -404,7 +406,8 @@
                 spec = self.spec_of(row.job)
                 if left > 0 and spec is not None:
                     due = row.due_in_s - (now - since)
-                    queue.append((due, label, msgspec.structs.replace(row, offer=left), spec))
+                    order = placement.order(row, spec, due)
+                    queue.append((order, label, msgspec.structs.replace(row, offer=left), spec))
         queue.sort(key=lambda entry: entry[:2])
         for want in placement.plan([candidate], [entry[1:] for entry in queue]):
             take = self.part.reserve(machine, want.job, want.count)
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from .mesh import QueueRow
-from .wire import JobSpec, MachineType
+from .wire import PRIORITIES, JobSpec, MachineType
 
 Room = tuple[float, float, float]  # cpus, memory, gpus
 
@@ -70,6 +70,16 @@
     return False
 
 
+def order(row: QueueRow, spec: JobSpec, due_in_s: float) -> tuple[bool, int, float]:
+    """Whose turn it is: what can still be in time, higher priority, soonest deadline.
+
+    Work within its team's guarantee need not wait for other teams: it ranks with
+    the highest. Where there is room for all, this is the paper's order.
+    """
+    rank = len(PRIORITIES) if row.guaranteed else spec.rank
+    return row.late, -rank, due_in_s
+
+
 def plan(candidates: Iterable[Candidate], queue: Iterable[tuple[str, QueueRow, JobSpec]]) -> list[Wanted]:
     """What to ask for; ``queue`` is sorted, soonest deadline first."""
     room = {m.name: m.free for m in candidates}
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -93,16 +93,16 @@
     return sorted(times) or [max_queue_time(spec, tuning)]
 
 
-def due_in(age_s: float, times: Sequence[float]) -> float:
-    """Time until the next Maximum Queue Time that can still be kept.
+def due_in(age_s: float, times: Sequence[float]) -> tuple[float, bool]:
+    """Time until the next Maximum Queue Time that can still be kept; whether all are missed.
 
     Work that has missed them all cannot be late a second time: it queues behind
     work that can still be in time, with the last of its times over again.
     """
     for limit in times:
         if age_s <= limit:
-            return limit - age_s
-    return times[-1]
+            return limit - age_s, False
+    return times[-1], True
 
 
 def _may_use(demand: Demand, kind: Kind) -> bool:
