Give a team's limit to its soonest need, whichever home it waits at

Cause: allowances were split by what homes wanted; closure tasks at one home waited 200 s while another home's builds held the team's limit.

--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -17,7 +17,7 @@
 from enum import Enum
 
 from . import constants as c
-from . import policy
+from . import placement, policy
 from .config import Team, Tuning
 from .mesh import Queue, Room, RoomRow
 from .policy import Demand, Kind, Market, Resource
@@ -248,20 +248,36 @@
             log.info("machine=%s state=leaving cause=%s", name, cause)
         decision.drain.append(name)
 
+    def _needs(self) -> dict[str, tuple[list[tuple[str, float]], list[tuple[str, float]]]]:
+        """Per team, what waits where (cpus, gpus), in the order of placement."""
+        waiting = []
+        for label in self.members:
+            for row in self.queues[label][0].rows:
+                spec = self.replica.spec(row.job)
+                if spec is not None:
+                    waiting.append((placement.order(row, spec, row.due_in_s), label, row.waiting, spec))
+        needs: dict[str, tuple[list, list]] = {team.name: ([], []) for team in self.teams}
+        for _, label, count, spec in sorted(waiting, key=lambda entry: entry[:2]):
+            if spec.team in needs:
+                needs[spec.team][0].append((label, count * spec.cpus))
+                needs[spec.team][1].append((label, count * spec.gpus))
+        return needs
+
     def allots(self) -> dict[str, dict[str, tuple[float, float]]]:
         """New allowances; each home gets its next one only after it confirmed the last."""
         if not self.teams or any(label not in self.queues for label in self.members):
             return {}
         if any(self.queues[label][0].allots != self.sent[label] for label in self.members):
             return {}
+        needs = self._needs()
         fresh: dict[str, dict[str, tuple[float, float]]] = {label: {} for label in self.members}
         for team in self.teams:
             for part, limit in enumerate((team.cpus_max, team.gpus_max)):
                 none = (0.0, 0.0)
+                used = {m: self.queues[m][0].used.get(team.name, none)[part] for m in self.members}
                 held = {m: self.queues[m][0].held.get(team.name, none)[part] for m in self.members}
-                want = {m: self.queues[m][0].want.get(team.name, none)[part] for m in self.members}
                 given = {m: self.given[m].get(team.name, none)[part] for m in self.members}
-                shares = policy.divide(limit, held, given, want) if limit > 0 else given
+                shares = policy.divide(limit, used, held, given, needs[team.name][part]) if limit > 0 else given
                 for label in self.members:
                     old = fresh[label].get(team.name, none)
                     share = shares.get(label, 0.0)
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -48,7 +48,8 @@
     """A home's waiting jobs and what its teams hold; sent every round."""
 
     rows: list[QueueRow]
-    held: dict[str, tuple[float, float]]
+    used: dict[str, tuple[float, float]]
+    held: dict[str, tuple[float, float]]  # the larger of what is used and what is allowed
     want: dict[str, tuple[float, float]]
     allots: int  # allotments received under this mandate
 
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -430,8 +430,8 @@
             self.part.settle(now)
         if self.may_act():
             self.part.check_leases(now)
-        queue = m.Queue(self.home.rows(now, self.due_in, self.run_time), self.home.held(), self.home.want(),
-                        self.home.allots)
+        queue = m.Queue(self.home.rows(now, self.due_in, self.run_time), self.home.used(), self.home.held(),
+                        self.home.want(), self.home.allots)
         for label in self.labels:
             self.tell(label, queue if label in members else m.Pulse())
         for label, channel in self.channels.items():
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -290,33 +290,34 @@
     return c.PAID_BLOCK_S - age_s % c.PAID_BLOCK_S <= within_s
 
 
-def divide(limit: float, held: dict[str, float], given: dict[str, float], want: dict[str, float]
-           ) -> dict[str, float]:
+def divide(limit: float, used: dict[str, float], held: dict[str, float], given: dict[str, float],
+           needs: Sequence[tuple[str, float]]) -> dict[str, float]:
     """Shares of a team's limit; their sum with what is still held never exceeds it.
 
-    ``held`` is what each home reported under its last allotment ``given``. What
-    one holds beyond its want may be asked back; it counts until it is confirmed.
+    ``held`` is what each home reported under its last allotment ``given``; it
+    counts until a smaller allotment is confirmed. What is not used goes to the
+    waiting tasks in their order (``needs``), wherever their home is, and what
+    then remains evenly to all, so that new work can start at once.
     """
     homes = sorted(held)
-    exposure = {home: max(held[home], given.get(home, 0.0)) for home in homes}
-    free = limit - sum(exposure.values())
+    left = max(0.0, limit - sum(used.values()))
+    target = dict(used)
+    for home, amount in needs:
+        amount = min(amount, left)
+        target[home] += amount
+        left -= amount
+    for home in homes:
+        target[home] += left / len(homes)
+    free = limit - sum(max(held[home], given.get(home, 0.0)) for home in homes)
     result = dict(given)
-    lacking = {home: want[home] - exposure[home] for home in homes if want[home] > exposure[home] + 1e-9}
-    if lacking and free > 1e-9:
-        need = sum(lacking.values())
-        for home, lack in lacking.items():
-            result[home] = exposure[home] + min(lack, free * lack / need)
-    elif lacking:
-        for home in homes:
-            if home not in lacking and given.get(home, 0.0) > want[home] + 1e-9:
-                result[home] = want[home]
-        total = sum(lacking.values())
-        fair = limit / max(1, sum(want[home] > 0 for home in homes))
-        for home in homes:
-            if home not in lacking or not total:
-                continue
-            if given.get(home, 0.0) > fair + 1e-9:
-                result[home] = fair
+    for home in homes:
+        have = max(held[home], given.get(home, 0.0))
+        if target[home] < given.get(home, 0.0) - 1e-9:
+            result[home] = target[home]
+        elif target[home] > have + 1e-9 and free > 1e-9:
+            more = min(target[home] - have, free)
+            result[home] = have + more
+            free -= more
     return result
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,7 @@
 """The paper's heuristics, on small cases worked out by hand."""
 
+import random
+
 from alderbridge import policy
 from alderbridge.config import Objective, Tuning
 from alderbridge.policy import Demand, Kind, Market, Resource
@@ -84,8 +86,21 @@
 
 
 def test_shares_of_a_limit_never_exceed_it():
-    held = {"a": 60.0, "b": 0.0}
-    given = {"a": 60.0, "b": 0.0}
-    shares = policy.divide(100.0, held, given, {"a": 200.0, "b": 200.0})
-    exposure = {h: max(held[h], shares[h]) for h in held}
-    assert sum(exposure.values()) <= 100.0 + 1e-9 and shares["b"] > 0
+    rng = random.Random(5)
+    homes = ["a", "b", "c"]
+    held, given = dict.fromkeys(homes, 0.0), dict.fromkeys(homes, 0.0)
+    used = dict.fromkeys(homes, 0.0)
+    for _ in range(500):
+        needs = [(rng.choice(homes), rng.uniform(0.0, 80.0)) for _ in range(rng.randint(0, 4))]
+        shares = policy.divide(100.0, used, held, given, needs)
+        assert sum(max(held[h], shares.get(h, 0.0)) for h in homes) <= 100.0 + 1e-6
+        given = shares
+        for h in homes:  # the home confirms, and uses what it may
+            used[h] = max(0.0, min(max(used[h], given.get(h, 0.0)), rng.uniform(0.0, 100.0)))
+            held[h] = max(used[h], given.get(h, 0.0))
+
+
+def test_what_is_not_used_goes_to_the_soonest_need():
+    homes = {"a": 60.0, "b": 0.0}
+    shares = policy.divide(100.0, dict(homes), dict(homes), {"a": 60.0, "b": 0.0}, [("b", 30.0), ("a", 50.0)])
+    assert shares == {"a": 70.0, "b": 30.0}
