Count a team's guarantee over the jobs of all homes

Cause: each home counted only its own jobs, so up to three times the guarantee ranked as guaranteed.

--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -18,7 +18,7 @@
 import logging
 import math
 from bisect import bisect_right
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 from enum import Enum
 
 import msgspec
@@ -367,13 +367,11 @@
     # -- queue and grants --------------------------------------------------
 
     def rows(self, now: float, due_in: Callable[[JobSpec, float, bool], tuple[float, bool]],
-             run_time: Callable[[JobSpec], float]) -> list[QueueRow]:
+             run_time: Callable[[JobSpec], float], guaranteed_jobs: Container[str] = ()) -> list[QueueRow]:
         used = self.used()
-        owed: dict[str, float] = {}
         rows = []
-        for job in sorted(self.jobs.values(), key=lambda j: j.arrived):
+        for job in self.jobs.values():
             spec = job.spec
-            owed[spec.team] = owed.get(spec.team, 0.0) + (spec.tasks - job.done.count) * spec.cpus
             if not job.waiting or now < job.paused_until:
                 continue
             fits, zone = job.allowed_zone()
@@ -382,8 +380,7 @@
             if ready < offer:
                 self.want_mark(job, offer, now)
                 offer = ready
-            team = self.usage.teams.get(spec.team)
-            guaranteed = team is not None and team.cpus > 0 and owed[spec.team] <= team.cpus
+            guaranteed = spec.id in guaranteed_jobs
             due, late = due_in(spec, now - job.arrived, guaranteed)
             rows.append(QueueRow(spec.id, job.waiting, offer if fits else 0, due, run_time(spec), zone,
                                  now - job.arrived, late, guaranteed))
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -430,8 +430,8 @@
             self.part.settle(now)
         if self.may_act():
             self.part.check_leases(now)
-        queue = m.Queue(self.home.rows(now, self.due_in, self.run_time), self.home.used(), self.home.held(),
-                        self.home.want(), self.home.allots)
+        rows = self.home.rows(now, self.due_in, self.run_time, self.guaranteed())
+        queue = m.Queue(rows, self.home.used(), self.home.held(), self.home.want(), self.home.allots)
         for label in self.labels:
             self.tell(label, queue if label in members else m.Pulse())
         for label, channel in self.channels.items():
@@ -444,6 +444,25 @@
                 self.send(label, m.Allot(teams))
         self.pump()
 
+    def guaranteed(self) -> set[str]:
+        """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs, on any home."""
+        room = {team.name: (team.cpus, team.gpus) for team in self.shared.teams if team.cpus > 0 or team.gpus > 0}
+        result: set[str] = set()
+        if not room:
+            return result
+        for name, (record, _) in sorted(self.replica.active.items(), key=lambda entry: entry[1][0].at):
+            spec = record.spec
+            if spec is None or spec.team not in room or record.state is not JobState.ACTIVE:
+                continue
+            mine = self.home.jobs.get(name)
+            done = mine.done.count if mine is not None else sum(high - low for low, high in record.done)
+            cpus, gpus = room[spec.team]
+            cpus, gpus = cpus - (spec.tasks - done) * spec.cpus, gpus - (spec.tasks - done) * spec.gpus
+            room[spec.team] = (cpus, gpus)
+            if cpus >= -1e-9 and gpus >= -1e-9:
+                result.add(name)
+        return result
+
     def returned(self, names: list[str], now: float) -> None:
         """The cloud has confirmed a return: everybody is told."""
         self.now = now
