Rent again at once where a call was refused or filled in part

Cause: one call a second, each for the cheapest kind only, took 20 s to find the capacity there was. Ruled out: boot times. The cloud's own limit stays the bound.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -45,7 +45,7 @@
         self.waiters: dict[object, list[curio.Event]] = {}  # submission or job -> who waits for it
         self.asks: dict[int, tuple[curio.Event, list[m.Reply]]] = {}
         self.ask_count = 0
-        self.cloud_budget = Budget(shared.cloud.rps * c.BUDGET_SHARE, 1, now())
+        self.cloud_budget = Budget(shared.cloud.rps * c.BUDGET_SHARE, shared.cloud.rps * c.BUDGET_SHARE, now())
         self.store_bad_until = 0.0
         self.rent_names = 0
         self.server = Server(self.handle, int(shared.limits.max_sockets * c.SOCKET_RESERVE))
@@ -250,7 +250,9 @@
                 if now() - listed_at >= c.LIST_S and self.cloud_budget.take(now()):
                     listed_at = now()
                     await self.list_machines()
-                await self.carry_out(self.node.leader.decide(now()))
+                # What one call did not fill, another kind may: at once, while the budget lasts.
+                while await self.carry_out(self.node.leader.decide(now())) and self.cloud_budget.available(now()) >= 1:
+                    pass
             except (CloudTrouble, Unanswered, msgspec.DecodeError) as error:
                 log.info("cloud state=trouble cause=%s", error)
 
@@ -266,7 +268,9 @@
         known = self.node.part.returned
         self.node.leader.on_listing([host for host in hosts if host.id not in known], now())
 
-    async def carry_out(self, decision: Decision) -> None:
+    async def carry_out(self, decision: Decision) -> bool:
+        """True if a rental was refused in part or whole."""
+        short = False
         self.node.drain(decision.drain, now())
         await self.after()
         leader = self.node.leader
@@ -281,15 +285,18 @@
                          len(names))
                 leader.on_rented(kind, names, now())
                 if len(names) < count:
+                    short = True
                     leader.on_refused(kind, now())
             except NoCapacity:
                 log.info("rent type=%s zone=%s spot=%s state=refused", kind.type, kind.zone, kind.spot)
+                short = True
                 leader.on_refused(kind, now())
         if decision.give_back and self.membership.leads(now()) and self.cloud_budget.take(now()):
             names = decision.give_back[:100]
             await self.cloud.give_back(names)
             self.node.returned(names, now())
             await self.after()
+        return short
 
     # -- HTTP ------------------------------------------------------------------------
 
