--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -79,8 +79,7 @@
     serve: an objective on waiting is a Maximum Queue Time itself, one on
     finishing or a deadline leaves what remains beside the Expected Run Time.
     """
-    # The last of many tasks ends later than a typical one.
-    run = expected_run_time(spec, tuning) * (c.RUN_SAFETY + c.RUN_SPREAD * math.log(spec.tasks))
+    run = expected_run_time(spec, tuning) * c.RUN_SAFETY
     times = []
     for objective in objectives:
         ours = objective.job_class == spec.job_class
