Call work late only when it is out of reach even with luck

Cause: work went to the back as soon as a pessimistic estimate missed its aim, though it would mostly have been in time.

--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -59,6 +59,7 @@
 QUEUE_TIME_FLOOR_S = 120.0  # s; ours, the paper has 300
 BID_SHARE = 0.9  # of the retail price; the paper's conclusion: close to retail
 RUN_SAFETY = 1.4  # times the Expected Run Time; estimates are often wrong by half
+RUN_LUCK = 0.8  # times the Expected Run Time; less than that is not to be hoped for
 WAIT_SHARE = 0.6  # of an objective on waiting; the rest goes to the report and the image
 LEAST_SHARE = 0.1  # of an objective on finishing that always remains as queue time
 HARD_CHECK_S = 15.0  # s; ours, the paper has 60
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -78,7 +78,7 @@
         self.taken: dict[tuple[str, str], int] = {}
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
-        self.queue_times: dict[tuple[str, bool], list[float]] = {}
+        self.queue_times: dict[tuple[str, bool], list[tuple[float, float]]] = {}
         share = c.BUDGET_SHARE / len(self.labels)
         self.write_budget = Budget(shared.state.write_rps * share, shared.state.write_rps * share, now)
         self.room_at = 0.0
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -72,37 +72,42 @@
     return max(tuning.queue_time_floor_s, requested * tuning.target_ratio)
 
 
-def queue_times(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective], guaranteed: bool) -> list[float]:
+def queue_times(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective], guaranteed: bool
+                ) -> list[tuple[float, float]]:
     """The Maximum Queue Times that the operators' objectives set, shortest first.
 
     Where they promise a start in seconds, the paper's floor of minutes cannot
     serve: an objective on waiting is a Maximum Queue Time itself, one on
     finishing or a deadline leaves what remains beside the Expected Run Time.
+    With each goes the time after which it is out of reach even with luck.
     """
-    run = expected_run_time(spec, tuning) * c.RUN_SAFETY
+    run = expected_run_time(spec, tuning)
     times = []
     for objective in objectives:
         ours = objective.job_class == spec.job_class
         start = objective.kind == "wait" and ours or objective.kind == "guarantee" and guaranteed
-        if start and objective.within_s:
-            times.append(objective.within_s * c.WAIT_SHARE)
-        elif objective.kind == "finished" and ours and objective.within_s:
-            times.append(max(objective.within_s * c.LEAST_SHARE, objective.within_s - run))
-        elif objective.kind == "deadline" and ours and spec.due_s:
-            times.append(max(spec.due_s * c.LEAST_SHARE, spec.due_s - run))
-    return sorted(times) or [max_queue_time(spec, tuning)]
+        within = objective.within_s if objective.kind != "deadline" else spec.due_s
+        if not within:
+            continue
+        if start:
+            times.append((within * c.WAIT_SHARE, within))
+        elif objective.kind in ("finished", "deadline") and ours:
+            least = within * c.LEAST_SHARE
+            times.append((max(least, within - run * c.RUN_SAFETY), max(least, within - run * c.RUN_LUCK)))
+    floor = max_queue_time(spec, tuning)
+    return sorted(times) or [(floor, floor)]
 
 
-def due_in(age_s: float, times: Sequence[float]) -> tuple[float, bool]:
+def due_in(age_s: float, times: Sequence[tuple[float, float]]) -> tuple[float, bool]:
     """Time until the next Maximum Queue Time that can still be kept; whether all are missed.
 
     Work that has missed them all cannot be late a second time: it queues behind
     work that can still be in time, with the last of its times over again.
     """
-    for limit in times:
-        if age_s <= limit:
+    for limit, hopeless in times:
+        if age_s <= hopeless:
             return limit - age_s, False
-    return times[-1], True
+    return times[-1][0], True
 
 
 def _may_use(demand: Demand, kind: Kind) -> bool:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -73,11 +73,12 @@
 def test_objectives_set_the_queue_times_and_missed_ones_go_behind():
     objectives = [Objective("wait", "x", 20.0), Objective("finished", "x", 200.0), Objective("wait", "other", 1.0)]
     times = policy.queue_times(spec(estimate_s=10.0), Tuning(), objectives, False)
-    assert times == [12.0, 186.0]
+    assert times == [(12.0, 20.0), (186.0, 192.0)]
     assert policy.due_in(5.0, times) == (7.0, False)
-    assert policy.due_in(13.0, times) == (173.0, False)
+    assert policy.due_in(13.0, times) == (-1.0, False)
+    assert policy.due_in(21.0, times) == (165.0, False)
     assert policy.due_in(500.0, times) == (186.0, True)
-    assert policy.queue_times(spec(), Tuning(), [], False) == [120.0]
+    assert policy.queue_times(spec(), Tuning(), [], False) == [(120.0, 120.0)]
 
 
 def test_idle_machine_stays_only_if_its_removal_predicts_a_breach():
