Leave young tasks to busy machines with room before waking an idle one

Cause: whichever machine reported first took tasks, so light load was spread over all and none fell idle.

--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -368,6 +368,12 @@
         return Candidate(machine.name, machine.type, machine.zone, machine.spot, self.free(machine),
                          frozenset(machine.images))
 
+    def spare(self, machine: Machine, now: float) -> list[Candidate]:
+        """Other machines of this part that run something and may have room left."""
+        found = [self.candidate(other, now) for other in self.machines.values()
+                 if other is not machine and not other.idle]
+        return [candidate for candidate in found if candidate is not None]
+
     # -- for placement and the leader ----------------------------------------
 
     def free(self, machine: Machine) -> tuple[float, float, float]:
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -400,10 +400,14 @@
         if candidate is None:
             return
         queue = []
+        others = self.part.spare(machine, now) if machine.idle else None
         for label, (since, rows) in self.offers.items():
             for row in rows:
                 left = row.offer - self.taken.get((label, row.job), 0)
                 spec = self.spec_of(row.job)
+                if spec is not None and others is not None and row.waited_s + now - since < c.GATHER_S:
+                    left -= sum(placement.fits(spec, other.free) for other in others
+                                if placement.allowed(spec, other.type, other.zone, other.spot))
                 if left > 0 and spec is not None:
                     due = row.due_in_s - (now - since)
                     order = placement.order(row, spec, due)
