--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -186,8 +186,7 @@
                 self._booting(name, rental, now, decision, resources, booting)
         for index, name in idle:
             rental = self.rentals[name]
-            idle_s = rows[name][0].idle_s
-            if (policy.block_ends(now - rental.rented_at, idle_s, 2 * c.LEADER_ROUND_S)
+            if (policy.block_ends(now - rental.rented_at, 2 * c.LEADER_ROUND_S)
                     and not policy.keep_idle(index, resources, queue)):
                 self.leave(name, now, decision, "idle at the end of its block")
                 resources[index].free = (0.0, 0.0, 0.0)
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -290,13 +290,9 @@
     return predict_breach([r for i, r in enumerate(resources) if i != index], queue) is not None
 
 
-def block_ends(age_s: float, idle_s: float, within_s: float) -> bool:
-    """Whether an idle machine's paid block ends within that time.
-
-    The first block is what the cloud charges at least. Later ones are ours: the
-    cloud charges by the second, so they begin when the machine falls idle.
-    """
-    return age_s + within_s >= c.PAID_BLOCK_S and idle_s + within_s >= c.IDLE_BLOCK_S
+def block_ends(age_s: float, within_s: float) -> bool:
+    """Whether the paid block ends within that time; idle machines wait out their block."""
+    return c.PAID_BLOCK_S - age_s % c.PAID_BLOCK_S <= within_s
 
 
 def divide(limit: float, used: dict[str, float], held: dict[str, float], given: dict[str, float],
