--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -67,7 +67,6 @@
 HARD_CHECK_S = 15.0  # s; ours, the paper has 60
 HARD_MARGIN_S = 15.0  # s; ours, added to the boot time
 PAID_BLOCK_S = 60.0  # s; PROTOCOL: a deleted machine costs at least this
-HELP_SHARE = 1.0  # of the shortest boot time; a rented machine is of no help before
 MAX_MACHINES = 64  # machines; ours, capacity is not published
 RENT_BATCH = 8  # machines; at most this many in one rental request
 REFUSED_PAUSE_S = 10.0  # s; a kind that was refused is left alone this long
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -143,12 +143,11 @@
         return max(1, math.ceil(ratio - 1e-9)), max(1, math.floor(1 / ratio + 1e-9))
 
 
-def predict_breach(resources: Iterable[Resource], queue: Sequence[Demand], help_s: float = 0.0) -> Demand | None:
+def predict_breach(resources: Iterable[Resource], queue: Sequence[Demand]) -> Demand | None:
     """The first demand, soonest deadline first, that would be assigned too late.
 
     Slots are sized to the head task; on a machine that the head may not use or
-    does not fit, to the soonest task that does. A machine rented now can help
-    only after ``help_s``: whoever gets a slot before that is no reason to rent.
+    does not fit, to the soonest task that does.
     """
     pools: dict[tuple[Kind, str], _Slots] = {}
     for resource in resources:
@@ -180,7 +179,7 @@
                 return demand
             pool, slots, tasks = best
             at = max(heapq.heappop(pool.heap) for _ in range(slots))
-            if at > max(help_s, demand.due_in_s):
+            if at > max(0.0, demand.due_in_s):
                 return demand
             for _ in range(slots):
                 heapq.heappush(pool.heap, at + demand.run_s)
@@ -239,12 +238,11 @@
     blocked: set[str] = set()
     resources = list(resources)
     rest = list(queue)
-    help_s = c.HELP_SHARE * min((machine.boot_s for machine in market.types.values()), default=0.0)
     count: dict[Kind, int] = {}
     for resource in resources:
         count[resource.kind] = count.get(resource.kind, 0) + 1
     while len(wanted) < below_cap:
-        breach = predict_breach(resources, rest, help_s)
+        breach = predict_breach(resources, rest)
         if breach is None:
             break
         kind = market.best(breach, now, count)
