--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -361,16 +361,16 @@
                 result.append(name)
         return result
 
-    def candidate(self, machine: Machine, now: float, run_time: Callable[[JobSpec], float]) -> Candidate | None:
+    def candidate(self, machine: Machine, now: float) -> Candidate | None:
         """The machine for placement, if tasks may go there."""
         if machine.state is not MachineState.UP or not machine.recorded or now < machine.aside_until:
             return None
         return Candidate(machine.name, machine.type, machine.zone, machine.spot, self.free(machine),
-                         self.ends(machine, now, run_time))
+                         frozenset(machine.images))
 
-    def spare(self, machine: Machine, now: float, run_time: Callable[[JobSpec], float]) -> list[Candidate]:
+    def spare(self, machine: Machine, now: float) -> list[Candidate]:
         """Other machines of this part that run something and may have room left."""
-        found = [self.candidate(other, now, run_time) for other in self.machines.values()
+        found = [self.candidate(other, now) for other in self.machines.values()
                  if other is not machine and not other.idle]
         return [candidate for candidate in found if candidate is not None]
 
@@ -391,25 +391,19 @@
                 gpus -= spec.gpus * count
         return (cpus, memory, gpus)
 
-    def ends(self, machine: Machine, now: float, run_time: Callable[[JobSpec], float]
-             ) -> list[tuple[float, float, float, float]]:
-        """What the tasks there take, and when each is expected to end."""
-        result = []
-        for (job, _), on in machine.live.items():
-            spec = self.spec_of(job)
-            if spec is not None:
-                spent = now - on.since if on.status == "running" else 0.0
-                result.append((max(0.0, run_time(spec) - spent), spec.cpus, spec.memory_gb, spec.gpus))
-        for job, _ in machine.pending:
-            spec = self.spec_of(job)
-            if spec is not None:
-                result.append((run_time(spec), spec.cpus, spec.memory_gb, spec.gpus))
-        return result
-
     def room(self, now: float, run_time: Callable[[JobSpec], float]) -> list[RoomRow]:
         rows = []
         for machine in self.machines.values():
-            ends = self.ends(machine, now, run_time)
+            ends = []
+            for (job, _), on in machine.live.items():
+                spec = self.spec_of(job)
+                if spec is not None:
+                    spent = now - on.since if on.status == "running" else 0.0
+                    ends.append((max(0.0, run_time(spec) - spent), spec.cpus, spec.memory_gb, spec.gpus))
+            for job, _ in machine.pending:
+                spec = self.spec_of(job)
+                if spec is not None:
+                    ends.append((run_time(spec), spec.cpus, spec.memory_gb, spec.gpus))
             idle = 0.0 if machine.idle_since is None else now - machine.idle_since
             state = "aside" if machine.state is MachineState.UP and now < machine.aside_until else machine.state.value
             rows.append(RoomRow(machine.name, machine.type, machine.zone, machine.spot, state, idle,
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -76,7 +76,6 @@
         self.types: dict[str, wire.MachineType] = {}
         self.offers: dict[str, tuple[float, list[m.QueueRow]]] = {}  # label -> receipt, rows
         self.taken: dict[tuple[str, str], int] = {}
-        self.keeping: dict[str, tuple[str, str]] = {}  # machine -> the home and job it keeps room for
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
         self.queue_times: dict[tuple[str, bool], list[tuple[float, float]]] = {}
@@ -229,7 +228,6 @@
         self.inbox.clear()
         self.offers.clear()
         self.taken.clear()
-        self.keeping.clear()
         inside = self.membership.standing(now) is not Standing.OUTSIDE
         old = self.home.jobs if inside and self.incarnation == self.membership.hold.permit else {}
         self.incarnation = self.membership.hold.permit if inside else 0
@@ -398,11 +396,11 @@
 
     def place(self, machine: Machine, now: float) -> None:
         """Ask homes for tasks that fit this machine, soonest deadline first."""
-        candidate = self.part.candidate(machine, now, self.run_time)
+        candidate = self.part.candidate(machine, now)
         if candidate is None:
             return
         queue = []
-        others = self.part.spare(machine, now, self.run_time) if machine.idle else None
+        others = self.part.spare(machine, now) if machine.idle else None
         for label, (since, rows) in self.offers.items():
             for row in rows:
                 left = row.offer - self.taken.get((label, row.job), 0)
@@ -415,17 +413,7 @@
                     order = placement.order(row, spec, due)
                     queue.append((order, label, msgspec.structs.replace(row, offer=left), spec))
         queue.sort(key=lambda entry: entry[:2])
-        elsewhere: dict[tuple[str, str], int] = {}
-        for name, key in self.keeping.items():
-            if name != machine.name:
-                elsewhere[key] = elsewhere.get(key, 0) + 1
-        wanted, kept = placement.plan(candidate, [entry[1:] for entry in queue], elsewhere,
-                                      max(1, len(self.membership.view.members)))
-        if kept is not None:
-            self.keeping[machine.name] = kept
-        else:
-            self.keeping.pop(machine.name, None)
-        for want in wanted:
+        for want in placement.plan([candidate], [entry[1:] for entry in queue]):
             take = self.part.reserve(machine, want.job, want.count)
             key = (want.home, want.job)
             self.taken[key] = self.taken.get(key, 0) + want.count
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -1,13 +1,15 @@
 """Which waiting tasks go to which machine of this part.
 
-A machine is filled when it reports, since only then it can be given orders:
-with whatever is next in line, may run there and fits.
+Soonest deadline first. A machine must be of an allowed type, zone and kind and
+have room. Among those, one that has the image goes first, then a spot machine
+for jobs that may use spot (ordinary ones are kept for jobs that may not), then
+the one that is filled best.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from .mesh import QueueRow
@@ -25,7 +27,7 @@
     zone: str
     spot: bool
     free: Room
-    ends: Sequence[tuple[float, float, float, float]] = ()  # of what runs: remaining s, cpus, memory, gpus
+    images: frozenset[str] | Mapping[str, float]
 
 
 @dataclass(frozen=True)
@@ -78,42 +80,37 @@
     return row.late, -rank, due_in_s
 
 
-def frees_up(spec: JobSpec, machine: Candidate) -> float | None:
-    """Until a task of ``spec`` is expected to fit the machine; None if it never does."""
-    room = machine.free
-    for end, cpus, memory, gpus in sorted(machine.ends):
-        room = (room[0] + cpus, room[1] + memory, room[2] + gpus)
-        if fits(spec, room):
-            return end
-    return None
-
-
-def plan(machine: Candidate, queue: Iterable[tuple[str, QueueRow, JobSpec]],
-         kept_elsewhere: Mapping[tuple[str, str], int], parts: int = 1) -> tuple[list[Wanted], tuple[str, str] | None]:
-    """What to ask homes for, in the queue's order, and for which job room is kept.
-
-    The first job that would fit but for what runs there now has room kept for
-    it: without that, small tasks would take each gap and a large one would never
-    start. Until then, only work that is expected to end in time goes there.
-    ``kept_elsewhere`` tells how many other machines of this part keep room for a
-    job; all parts together keep room on half as many machines as it has tasks.
-    """
-    room = machine.free
-    kept: tuple[str, str] | None = None
-    until = math.inf
+def plan(candidates: Iterable[Candidate], queue: Iterable[tuple[str, QueueRow, JobSpec]]) -> list[Wanted]:
+    """What to ask for; ``queue`` is sorted, soonest deadline first."""
+    room = {m.name: m.free for m in candidates}
+    machines = {m.name: m for m in candidates}
     result: list[Wanted] = []
     for home, row, spec in queue:
-        if row.offer <= 0 or not allowed(spec, machine.type, machine.zone, machine.spot):
-            continue
-        if row.zone is not None and machine.zone != row.zone:
+        offer = row.offer
+        if offer <= 0:
             continue
-        count = min(fits(spec, room), row.offer)
-        if count:
-            if row.run_s <= until:
-                result.append(Wanted(home, row.job, machine.name, machine.zone, count))
-                room = minus(room, spec, count)
-        elif kept is None and not result and kept_elsewhere.get((home, row.job), 0) < row.offer / parts / 2:
-            free_in = frees_up(spec, machine)
-            if free_in is not None:
-                kept, until = (home, row.job), free_in
-    return result, kept
+        if not room:
+            break
+        options = []
+        for name, free in room.items():
+            machine = machines[name]
+            if not allowed(spec, machine.type, machine.zone, machine.spot):
+                continue
+            if row.zone is not None and machine.zone != row.zone:
+                continue
+            count = fits(spec, free)
+            if count:
+                options.append((spec.image not in machine.images, spec.spot and not machine.spot,
+                                abs(count - offer), name, count))
+        zone = row.zone
+        for _, _, _, name, count in sorted(options):
+            if spec.one_zone and zone is not None and machines[name].zone != zone:
+                continue
+            zone = machines[name].zone
+            count = min(count, offer)
+            result.append(Wanted(home, row.job, name, zone, count))
+            room[name] = minus(room[name], spec, count)
+            offer -= count
+            if offer <= 0:
+                break
+    return result
