Shorten the barrier by proof: drop records of lapsed machines, return silent ones

Ruled out: time to restart (0.2 s to enter a view). Records go when the lease has lapsed; silent machines that are recalled or no longer listed are returned, which is proof; types are kept in the store.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -18,7 +18,7 @@
 from .leader import Decision
 from .net import Answer, Budget, Server, Unanswered
 from .node import Batch, Node
-from .store import JOBS, MEMBERS, ROOT, VIEW, HoldLost, Refused, Store, TooOld
+from .store import JOBS, MEMBERS, ROOT, TYPES, VIEW, HoldLost, Refused, Store, TooOld
 from .view import Presence, Standing
 
 log = logging.getLogger("controller")
@@ -225,16 +225,24 @@
     async def keep_types(self) -> None:
         """Machine types; the leader reads the prices again and again, others until they know."""
         node = self.node
+        asked = False
         while True:
-            if not node.types or self.membership.leads(now()):
+            if not asked or self.membership.leads(now()):
                 try:
                     if self.cloud_budget.take(now()):
-                        node.types = await self.cloud.flavours()
-                        node.part.types = node.types
-                        node.leader.on_types(node.types)
-                except (CloudTrouble, NoCapacity, Unanswered, msgspec.DecodeError) as error:
+                        node.learn_types(await self.cloud.flavours())
+                        asked = True
+                        await self.store_types()
+                except (CloudTrouble, NoCapacity, Refused, HoldLost, Unanswered, msgspec.DecodeError) as error:
                     log.info("cloud state=trouble cause=%s", error)
-            await curio.sleep(c.FLAVOURS_S if node.types else 1.0)
+            await curio.sleep(c.FLAVOURS_S if asked else c.LEADER_ROUND_S)
+
+    async def store_types(self) -> None:
+        """A controller that starts while the cloud is out of reach reads them there."""
+        flavours = self.node.types_to_store()
+        if flavours is not None:
+            conditions = {VIEW: self.membership.mandate, TYPES: self.node.replica.types_stamp}
+            await self.store.commit(conditions, {TYPES: flavours})
 
     async def keep_machines(self) -> None:
         """The leader's round: list, decide, rent, give back."""
--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -41,7 +41,8 @@
     state: RentalState
     leaving_since: float = 0.0
     failed: bool = False
-    listed_at: float | None = None
+    listed: bool = False
+    missed: int = 0  # listings in a row that lack it, having been listed
 
 
 @dataclass
@@ -70,6 +71,7 @@
         self.sent: dict[str, int] = dict.fromkeys(members, 0)
         self.hard_at = now
         self.listed = False
+        self.listings = 0  # under this view
         for name in [n for n, r in self.rentals.items() if r.state is RentalState.RETURNED]:
             del self.rentals[name]
 
@@ -105,12 +107,16 @@
 
     def on_listing(self, hosts: list[Listed], now: float) -> None:
         self.listed = True
+        self.listings += 1
+        present = {host.id for host in hosts}
+        for name, rental in self.rentals.items():
+            rental.missed = 0 if name in present or not rental.listed else rental.missed + 1
         for host in hosts:
             rental = self.rentals.get(host.id)
             if rental is None:
                 rental = self._found(host.id, Kind(host.type, host.zone, host.spot), now - host.held_s,
                                      RentalState.BOOTING)
-            rental.listed_at = now
+            rental.listed = True
             rental.rented_at = min(rental.rented_at, now - host.held_s)
             rental.failed = rental.failed or host.status == "failed"
 
@@ -184,6 +190,10 @@
                 self._up(name, rental, row, at, now, decision, resources, idle)
             else:
                 self._booting(name, rental, now, decision, resources, booting)
+        if self.listings >= c.LIST_MISSES:
+            for name, (row, at) in rows.items():
+                if name not in self.rentals and row.silent_s + now - at > c.SILENT_S:
+                    decision.give_back.append(name)  # recorded, silent and not listed: most likely taken
         for index, name in idle:
             rental = self.rentals[name]
             if (policy.block_ends(now - rental.rented_at, 2 * c.LEADER_ROUND_S)
@@ -206,11 +216,14 @@
             resources: list[Resource], idle: list[tuple[int, str]]) -> None:
         silent = row.silent_s + (now - at)
         fresh = now - at < 3 * c.LEADER_ROUND_S
-        if rental.failed or (row.state == "lapsed" and silent > c.LOST_S):
+        # A return is proof at once that nothing is left there; a lapsed lease takes longer. The
+        # list proves nothing, but it shows which silent machines are worth asking for.
+        hint = rental.missed >= c.LIST_MISSES or row.state == "draining"
+        if rental.failed or (row.state == "lapsed" and silent > c.LOST_S) or (hint and silent > c.SILENT_S):
             self.leave(name, now, decision, "failed" if rental.failed else "lost")
             decision.give_back.append(name)
         elif row.state == "draining":
-            if fresh and (row.idle_s > 0 and not row.ends or silent > 2 * c.HARD_MARGIN_S):
+            if fresh and row.idle_s > 0 and not row.ends:
                 decision.give_back.append(name)
             elif rental.state is not RentalState.LEAVING:
                 rental.state = RentalState.LEAVING
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -84,6 +84,7 @@
 
     def lapse(self) -> None:
         self.state = MachineState.LAPSED
+        self.idle_since = None
         self._forget()
 
     def gone(self) -> None:
@@ -125,6 +126,7 @@
         self.returned: set[str] = set()  # confirmed gone; late reports mean nothing
         self.doomed: set[str] = set()  # wanted back before they ever reported
         self.to_record: list[str] = []
+        self.to_drop: list[str] = []  # nothing is on them: no new view need wait for them
         self.mandate = 0
         self.members: list[str] = []
         self.types: dict[str, MachineType] = {}
@@ -135,7 +137,7 @@
         """A new view: these recorded machines are ours; all must acknowledge."""
         old, self.machines = self.machines, {}
         self.mandate, self.members, self.settled_at = mandate, members, None
-        self.to_record = []
+        self.to_record, self.to_drop = [], []
         for name in machines:
             machine = self.machines[name] = Machine(name, now)
             machine.recorded = True
@@ -160,7 +162,6 @@
             if beat.machine in self.returned:
                 return None
             machine = self.machines[beat.machine] = Machine(beat.machine, now)
-            self.to_record.append(beat.machine)
             log.info("machine=%s state=expected cause=first report", beat.machine)
         news = (beat.tenure, beat.counter)
         if news <= machine.news or machine.state is MachineState.GONE:
@@ -173,6 +174,8 @@
         first = not machine.acked or machine.state is MachineState.LAPSED
         if first:
             machine.acknowledge()
+            if not machine.recorded and machine.name not in self.to_record:
+                self.to_record.append(machine.name)
             log.debug("machine=%s state=up cause=acknowledged mandate=%d", machine.name, self.mandate)
         if beat.recall_s is not None or beat.machine in self.doomed:
             machine.drain()
@@ -331,6 +334,9 @@
                 log.info("machine=%s state=lapsed cause=silent for %.1f s", machine.name, now - machine.heard_at)
                 machine.lapse()
                 self.tell_homes(machine)
+                if machine.recorded:
+                    machine.recorded = False
+                    self.to_drop.append(machine.name)
 
     def drain(self, names: Iterable[str]) -> None:
         for name in names:
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -215,6 +215,8 @@
         self.replica.epoch = epoch
         if newer:
             self.enter_view(now, wall)
+        if not self.types:
+            self.learn_types(self.replica.types)
         self.loaded = True
         log.info("replica state=loaded epoch=%d jobs=%d", epoch, len(self.replica.active))
 
@@ -242,6 +244,7 @@
         mine = [name for name in self.replica.machines if self.membership.part_of(name) == self.me] if inside else []
         self.part.enter(mandate, members if inside else [], mine, now)
         self.leader.enter(members, now)
+        self.dropping = [name for name in self.dropping if name in self.part.returned]
         self.pump()
 
     def next_view(self, now: float) -> tuple[View, dict[str, int]] | None:
@@ -263,7 +266,9 @@
         if room < 1:
             return None
         batch = Batch(self.membership.mandate, {VIEW: self.membership.mandate})
-        for name in self.part.to_record[:room]:
+        self.dropping += self.part.to_drop
+        self.part.to_drop = []
+        for name in [name for name in self.part.to_record if name not in self.dropping][:room]:
             batch.machines.append(name)
             batch.conditions[MACHINES + name] = 0
             batch.puts[MACHINES + name] = {}
@@ -289,6 +294,8 @@
                 batch.jobs.append((job, record, list(job.to_clear)))
         batch.gone = self.dropping[:max(0, room - len(batch.puts))]
         batch.drops = [MACHINES + name for name in batch.gone]
+        # Carried out late, a drop must not hit a record that has been written again since.
+        batch.conditions |= {MACHINES + name: self.replica.machines.get(name, 0) for name in batch.gone}
         if not batch.puts and not batch.drops:
             return None
         self.write_budget.spend(now, len(batch.puts) + len(batch.drops))
@@ -302,7 +309,8 @@
     def batch_done(self, batch: Batch, stamp: int, now: float) -> None:
         self.now = now
         current = batch.mandate == self.membership.mandate
-        self.dropping = [name for name in self.dropping if name not in batch.gone]
+        for name in batch.gone:
+            self._dropped(name)
         for name in batch.machines:
             self._recorded(name, stamp, current)
         for job, record, cleared in batch.jobs:
@@ -326,22 +334,31 @@
             del self.home.jobs[job.spec.id]
 
     def _recorded(self, name: str, stamp: int, current: bool) -> None:
-        self.replica.machines.setdefault(name, stamp)
+        self.replica.machines[name] = max(stamp, self.replica.machines.get(name, 0))
         if name in self.part.to_record:
             self.part.to_record.remove(name)
         if name in self.part.machines and current:
             self.part.machines[name].recorded = True
 
+    def _dropped(self, name: str) -> None:
+        self.replica.machines.pop(name, None)
+        self.dropping = [other for other in self.dropping if other != name]
+
     def reread(self, batch: Batch, key: str, row: wire.Row | None, now: float) -> None:
         """What the store holds under a key whose condition failed: decide anew."""
         self.now = now
         current = batch.mandate == self.membership.mandate
-        if row is None:
-            return
         if key.startswith(MACHINES):
+            # An earlier write of ours had no answer.
             name = key[len(MACHINES):]
-            if name in batch.machines:
-                self._recorded(name, row.stamp, current)  # an earlier write of ours had no answer
+            if name in batch.gone and row is None:
+                self._dropped(name)
+            elif name in batch.gone and row is not None:
+                self.replica.machines[name] = row.stamp
+            elif row is not None:
+                self._recorded(name, row.stamp, current)
+            return
+        if row is None:
             return
         record = _record.decode(row.data)
         name = key[len(JOBS):]
@@ -475,6 +492,19 @@
             self.send(label, m.Gone(names))
         self.pump()
 
+    def learn_types(self, types: dict[str, wire.MachineType]) -> None:
+        self.types = self.part.types = types
+        self.leader.on_types(types)
+
+    def types_to_store(self) -> wire.Flavours | None:
+        """The machine types, where the store has none or others; spot prices alone are no news."""
+        lasting = [msgspec.structs.replace(kind, spot_price=kind.price) for kind in self.types.values()]
+        known = [msgspec.structs.replace(kind, spot_price=kind.price) for kind in self.replica.types.values()]
+        if not lasting or lasting == known or not self.membership.leads(self.now):
+            return None
+        flavours = wire.Flavours(list(self.types.values()))
+        return flavours if len(msgspec.json.encode(flavours)) < self.home.value_bytes else None
+
     def drain(self, names: list[str], now: float) -> None:
         self.now = now
         by_part: dict[str, list[str]] = {}
--- a/alderbridge/store.py
+++ b/alderbridge/store.py
@@ -20,6 +20,7 @@
 ROOT = "ab/"
 VIEW = "ab/view"
 MEMBERS = "ab/m/"
+TYPES = "ab/types"
 JOBS = "ab/j/"
 MACHINES = "ab/n/"
 
