Refuse submissions at once when the store refuses; tests over loopback sockets

The first submission of an outage was held for 3.5 s before its 503. Now a refused transaction refuses all waiting submissions, with Retry-After.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -200,6 +200,9 @@
                 await self.after()
             except _TROUBLE as error:
                 self.node.batch_failed(batch, now())
+                if isinstance(error, Refused):
+                    self.node.refuse_submissions()
+                    await self.after()
                 self.store_trouble()
                 log.info("records state=unsure cause=%s", error)
                 await curio.sleep(c.ROUND_S)
@@ -381,6 +384,8 @@
             return 400, wire.error("the job's description is too long"), []
         if not submission.outcome and not await self.wait_for(submission, c.SUBMIT_WAIT_S):
             return later("the state service is slow")
+        if submission.outcome == "refused":
+            return later("the state service is out of reach")
         if submission.outcome == "accepted":
             return 201, wire.accepted(spec.id, "pending"), []
         return await self.known(spec.id)
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -36,7 +36,7 @@
     """A job on its way into the store."""
 
     job: Job
-    outcome: str = ""  # "accepted" or "known"; empty: not decided
+    outcome: str = ""  # "accepted", "known" or "refused"; empty: not decided
 
 
 @dataclass
@@ -306,6 +306,11 @@
         for job, _, _ in batch.jobs:
             job.touch(now)
 
+    def refuse_submissions(self) -> None:
+        """The store carries nothing out: who waits is told at once, and asks again later."""
+        for submission in list(self.submissions.values()):
+            self._settle(submission, "refused")
+
     def batch_done(self, batch: Batch, stamp: int, now: float) -> None:
         self.now = now
         current = batch.mandate == self.membership.mandate
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,293 @@
+"""One real controller over loopback sockets, with stand-ins for the store and the cloud."""
+
+import contextlib
+import http.client
+import itertools
+import json
+import socket
+import subprocess
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from urllib.parse import parse_qs, urlparse
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+JOB = {"id": "wk-000001", "workload": "w", "owner": "t", "shape": "sweep", "urgency": "high", "parts": 2,
+       "vcpus": 1.0, "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "expected_s": 5.0}
+
+
+class Stand(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def finish(self):
+        with contextlib.suppress(OSError):  # the controller under test is killed now and then
+            super().finish()
+
+    def reply(self, status, value):
+        body = json.dumps(value).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        with contextlib.suppress(OSError):
+            self.wfile.write(body)
+
+    def body(self):
+        return json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))) or b"{}")
+
+
+def store_stand():
+    lock = threading.Lock()
+    state = {"epoch": 0, "data": {}, "log": [], "down": False}
+    permits = itertools.count(1)
+
+    class Store(Stand):
+        def do_GET(self):
+            self.body()
+            url = urlparse(self.path)
+            query = {key: values[0] for key, values in parse_qs(url.query).items()}
+            if state["down"]:
+                return self.reply(503, {})
+            if url.path == "/follow":
+                end = time.monotonic() + min(0.3, int(query["wait_ms"]) / 1000)
+                while state["epoch"] <= int(query["from"]) and time.monotonic() < end:
+                    time.sleep(0.01)
+                with lock:
+                    log = [change for change in state["log"] if change["stamp"] > int(query["from"])]
+                    return self.reply(200, {"epoch": state["epoch"], "log": log})
+            with lock:
+                if url.path == "/kv":
+                    rows = [{"k": k, "data": v, "stamp": s} for k, (v, s) in sorted(state["data"].items())
+                            if k > query.get("from", "")]
+                    return self.reply(200, {"rows": rows, "has_next": False, "epoch": state["epoch"]})
+                found = state["data"].get(url.path[4:])
+            if found is None:
+                return self.reply(404, {"epoch": state["epoch"]})
+            return self.reply(200, {"k": url.path[4:], "data": found[0], "stamp": found[1]})
+
+        def do_POST(self):
+            body = self.body()
+            if state["down"]:
+                return self.reply(503, {})
+            if self.path == "/holds":
+                return self.reply(200, {"permit": next(permits)})
+            if self.path != "/commit":
+                return self.reply(200, {})
+            with lock:
+                failed = [c["k"] for c in body["if"] if state["data"].get(c["k"], (0, 0))[1] != c["stamp"]]
+                if failed:
+                    return self.reply(409, {"failed": failed, "epoch": state["epoch"]})
+                state["epoch"] += 1
+                for write in body["writes"]:
+                    if "put" in write:
+                        state["data"][write["put"]] = (write["data"], state["epoch"])
+                    else:
+                        state["data"].pop(write["drop"], None)
+                    state["log"].append({**write, "stamp": state["epoch"]})
+                return self.reply(200, {"epoch": state["epoch"]})
+
+        def do_DELETE(self):
+            self.body()
+            with lock:
+                state["epoch"] += 1
+                for key in [k for k in state["data"] if k.startswith("ab/m/")]:
+                    del state["data"][key]
+                    state["log"].append({"drop": key, "stamp": state["epoch"]})
+            return self.reply(200, {})
+
+    return Store, state
+
+
+class Cloud(Stand):
+    def do_GET(self):
+        self.body()
+        if self.path == "/flavors":
+            kind = {"name": "c4", "vcpus": 4, "accelerators": 0, "mem_gb": 16, "local_gb": 10, "pull_gb_per_s": 1.0,
+                    "rate": 1.0, "spot_price": 0.3, "ready_s": 10, "sites": ["a"]}
+            return self.reply(200, {"flavours": [kind]})
+        return self.reply(200, {"hosts": [], "has_next": False})
+
+    def do_POST(self):
+        self.body()
+        return self.reply(200, {"hosts": []})
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def serve(handler):
+    server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+def settings(port, store, cloud):
+    shared = {"zones": ["a"], "teams": [{"name": "t"}, {"name": "small", "cpus_max": 1.0}],
+              "workers": {"report_s": 3.0, "lease_s": 20.0, "cancel_s": 45.0},
+              "state": {"rps": 500.0, "write_rps": 200.0, "value_kb": 4.0, "txn_ops": 12},
+              "cloud": {"rps": 5.0, "list_lag_s": 5.0}, "limits": {"cpu": 1.0, "memory_mb": 200.0, "max_sockets": 50}}
+    return {"label": "host-0", "location": "a", "listen": f"127.0.0.1:{port}",
+            "mesh_addr": f"127.0.0.1:{free_port()}", "peers": [], "endpoints": {"cloud": cloud, "state": store},
+            "settings": shared, "unknown": 1}
+
+
+class Service:
+    def __init__(self, path, port):
+        self.path, self.port, self.process = path, port, None
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen([sys.executable, "run.py", "--config", str(self.path)], cwd=ROOT,
+                                        stderr=subprocess.DEVNULL)
+        for _ in range(400):
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                if self.call("GET", "/healthz")[0] == 200:
+                    return
+            time.sleep(0.05)
+        raise AssertionError("the controller did not become healthy")
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+
+    def call(self, method, path, body=None):
+        conn = http.client.HTTPConnection("127.0.0.1", self.port, timeout=10)
+        raw = body if isinstance(body, bytes | None) else json.dumps(body)
+        conn.request(method, path, raw)
+        answer = conn.getresponse()
+        data = answer.read()
+        conn.close()
+        return answer.status, json.loads(data or b"null"), dict(answer.getheaders())
+
+    def submit_until(self, job, status):
+        for _ in range(200):
+            answer = self.call("POST", "/v1/jobs", job)
+            if answer[0] == status:
+                return answer
+            time.sleep(0.05)
+        raise AssertionError(f"never answered {status}: {answer}")
+
+
+@pytest.fixture(scope="module")
+def world(tmp_path_factory):
+    handler, state = store_stand()
+    store, cloud, port = serve(handler), serve(Cloud), free_port()
+    path = tmp_path_factory.mktemp("conf") / "settings.json"
+    path.write_text(json.dumps(settings(port, *(f"127.0.0.1:{s.server_address[1]}" for s in (store, cloud)))))
+    service = Service(path, port)
+    yield service, state
+    service.stop()
+    store.shutdown()
+    cloud.shutdown()
+
+
+def test_a_job_is_taken_once_and_withdrawn_for_good(world):
+    service, state = world
+    service.submit_until(JOB, 201)
+    assert "ab/j/wk-000001" in state["data"]
+    assert service.call("POST", "/v1/jobs", JOB)[0] == 200
+    assert service.call("GET", "/v1/jobs/wk-000001")[1] == {"id": "wk-000001", "status": "pending", "done": 0,
+                                                            "running": 0}
+    assert service.call("POST", "/v1/jobs/wk-000001/withdraw")[1]["status"] == "aborted"
+    assert state["data"]["ab/j/wk-000001"][0]["state"] == "aborted"
+    service.stop()
+    service.start()
+    assert service.call("GET", "/v1/jobs/wk-000001")[1]["status"] == "aborted"
+    assert service.call("POST", "/v1/jobs", JOB)[1]["status"] == "aborted"
+
+
+@pytest.mark.parametrize("method, path, body, status", [
+    ("POST", "/v1/jobs", b"{", 400), ("POST", "/v1/jobs", b"[]", 400), ("POST", "/v1/jobs", b"\xff\xfe", 400),
+    ("POST", "/v1/jobs", b"[" * 60000, 400),
+    ("POST", "/v1/jobs", {**JOB, "id": "x"}, 400), ("POST", "/v1/jobs", {**JOB, "parts": 0}, 400),
+    ("POST", "/v1/jobs", {**JOB, "vcpus": -1.0}, 400), ("POST", "/v1/jobs", {**JOB, "id": None}, 400),
+    ("POST", "/v1/jobs", {**JOB, "parts": 10**30}, 400), ("POST", "/v1/jobs", b"x" * 70000, 413),
+    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "owner": "nobody"}, 422),
+    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "vcpus": 64.0}, 422),
+    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "owner": "small", "vcpus": 2.0}, 422),
+    ("GET", "/v1/jobs/wk-777777", None, 404), ("GET", "/v1/jobs/%00", None, 404), ("GET", "/nowhere", None, 404),
+    ("POST", "/v1/jobs/wk-777777/withdraw", None, 404), ("DELETE", "/v1/jobs", None, 405),
+    ("POST", "/agent/beat", b"{}", 400), ("GET", "/agent/beat", None, 405),
+])
+def test_what_cannot_be_taken_is_answered(world, method, path, body, status):
+    service, _ = world
+    service.submit_until({**JOB, "id": "wk-000009", "owner": "nobody"}, 422)  # the machine types are known
+    assert service.call(method, path, body)[0] == status
+
+
+def test_a_worker_gets_the_mandate_first_and_orders_after(world):
+    service, state = world
+    service.submit_until({**JOB, "id": "wk-000002"}, 201)
+    beat = {"host": "n-1", "address": "x", "flavour": "c4", "site": "a", "standby": False, "tenure": 1,
+            "counter": 1, "mandate": 0, "recall_s": None, "parts": []}
+    status, answer, _ = service.call("POST", "/agent/beat", beat)
+    assert status == 200 and answer["orders"] == [] and answer["mandate"] > 0
+    assert service.call("POST", "/agent/beat", beat)[0] == 503  # not newer than the last
+    for counter in range(2, 60):
+        orders = service.call("POST", "/agent/beat", {**beat, "counter": counter,
+                                                      "mandate": answer["mandate"]})[1]["orders"]
+        if orders:
+            break
+        time.sleep(0.05)
+    assert {(order["verb"], order["part"]) for order in orders} == {("run", "wk-000002/0"), ("run", "wk-000002/1")}
+    assert "ab/n/n-1" in state["data"]  # written before the first order
+
+
+def test_without_the_store_a_submission_is_refused_at_once(world):
+    service, state = world
+    state["down"] = True
+    try:
+        status, _, headers = service.call("POST", "/v1/jobs", {**JOB, "id": "wk-000003"})
+        assert status == 503
+        assert int(headers["Retry-After"]) > 0
+        assert service.call("GET", "/healthz")[0] == 200
+    finally:
+        state["down"] = False
+    service.submit_until({**JOB, "id": "wk-000003"}, 201)
+
+
+def test_half_sent_and_idle_clients_do_not_stop_others(world):
+    service, _ = world
+    socks = [socket.create_connection(("127.0.0.1", service.port)) for _ in range(20)]
+    try:
+        for sock in socks:
+            sock.sendall(b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+        assert service.call("GET", "/healthz")[0] == 200
+    finally:
+        for sock in socks:
+            sock.close()
+
+
+@pytest.mark.parametrize("change, told", [
+    ({"listen": "nowhere"}, "listen: expected HOST:PORT"), ({"label": 5}, "$.label"),
+])
+def test_a_bad_settings_file_is_one_line_and_exit_2(tmp_path, change, told):
+    path = tmp_path / "s.json"
+    path.write_text(json.dumps({**settings(1, "a:1", "b:2"), **change}))
+    done = subprocess.run([sys.executable, "run.py", "--check", "--config", str(path)], cwd=ROOT, text=True,
+                          capture_output=True, check=False)
+    assert done.returncode == 2 and told in done.stderr and done.stderr.count("\n") == 1
+
+
+@pytest.mark.parametrize("text, told", [
+    ("[policy]\nbid = 1\n", "[policy] bid: no such setting"),
+    ("[policy]\nbid_share = much\n", "bid_share: expected a number from 0.0 to 10.0"),
+    ("bid_share\n", "not an INI file"), ("[policy]\nbid_share = 0.7\n", None),
+])
+def test_operators_settings_are_checked(tmp_path, text, told):
+    path, ini = tmp_path / "s.json", tmp_path / "a.ini"
+    path.write_text(json.dumps(settings(1, "a:1", "b:2")))
+    ini.write_text(text)
+    done = subprocess.run([sys.executable, "run.py", "--check", "--config", str(path), "--settings", str(ini)],
+                          cwd=ROOT, text=True, capture_output=True, check=False)
+    assert done.returncode == (2 if told else 0) and (told or "") in done.stderr
