--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -29,9 +29,6 @@
 
 GATHER_S = 4.0  # s; so long an idle machine leaves tasks to busy ones with room: a report interval and a bit
 
-PREEMPT_AFTER_S = 8.0  # s; high-priority work that waits longer may stop work of lower priority
-PREEMPT_AGAIN_S = 3.0  # s; until stopped tasks have made room, no more are stopped for the same job
-
 # --- network ---------------------------------------------------------------
 MAX_BODY = 64 * 1024  # bytes; PROTOCOL's limit for request bodies
 MAX_FRAME = 4 * 1024 * 1024  # bytes; one mesh message, far above any real one
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -20,7 +20,7 @@
 
 from . import constants as c
 from .mesh import Grant, Halt, RoomRow, Seen, SeenTask
-from .placement import Candidate, Victim
+from .placement import Candidate
 from .wire import Beat, JobSpec, MachineType, clear_order, halt_order, run_order, split_task
 
 log = logging.getLogger("machines")
@@ -374,20 +374,6 @@
         return Candidate(machine.name, machine.type, machine.zone, machine.spot, self.free(machine),
                          frozenset(machine.images))
 
-    def victims(self, machine: Machine, now: float) -> list[Victim]:
-        found = []
-        for (job, index), on in machine.live.items():
-            spec = self.spec_of(job)
-            if spec is not None and on.status in ("fetching", "running") and not spec.service and not spec.gang:
-                found.append(Victim(job, index, spec, now - on.since if on.status == "running" else 0.0))
-        return found
-
-    def stop(self, machine: Machine, victims: Iterable[Victim]) -> None:
-        """Order running tasks to stop; their homes learn it from the report and let them wait again."""
-        for victim in victims:
-            on = machine.tasks[(victim.job, victim.index)]
-            machine.halts[(victim.job, victim.index)] = (on.attempt, victim.spec.save_s)
-
     def spare(self, machine: Machine, now: float) -> list[Candidate]:
         """Other machines of this part that run something and may have room left."""
         found = [self.candidate(other, now) for other in self.machines.values()
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -29,7 +29,6 @@
 
 log = logging.getLogger("node")
 _record = msgspec.json.Decoder(Record)
-PREEMPTABLE_RANK = wire.PRIORITIES.index("standard")  # this priority and lower stop for no one
 
 
 @dataclass(eq=False)
@@ -77,7 +76,6 @@
         self.types: dict[str, wire.MachineType] = {}
         self.offers: dict[str, tuple[float, list[m.QueueRow]]] = {}  # label -> receipt, rows
         self.taken: dict[tuple[str, str], int] = {}
-        self.stopped_for: dict[tuple[str, str], tuple[float, int]] = {}  # waiting job -> since, tasks made room for
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
         self.queue_times: dict[tuple[str, bool], list[tuple[float, float]]] = {}
@@ -232,7 +230,6 @@
         self.inbox.clear()
         self.offers.clear()
         self.taken.clear()
-        self.stopped_for.clear()
         inside = self.membership.standing(now) is not Standing.OUTSIDE
         old = self.home.jobs if inside and self.incarnation == self.membership.hold.permit else {}
         self.incarnation = self.membership.hold.permit if inside else 0
@@ -444,33 +441,6 @@
             self.taken[key] = self.taken.get(key, 0) + want.count
             self.send(want.home, m.Take(take, want.job, want.machine, want.zone, want.count))
         self.pump()
-        self.make_room(machine, queue, now)
-
-    def make_room(self, machine: Machine, queue: list[tuple], now: float) -> None:
-        """PROTOCOL's preemption: stop tasks of lower priority for work that is about to start too late.
-
-        Each part answers for its share of the waiting tasks. The room is used when
-        the machine reports the stop.
-        """
-        parts = max(1, len(self.membership.view.members))
-        for _, label, row, spec in queue:
-            key = (label, row.job)
-            since, asked = self.stopped_for.get(key, (now, 0))
-            if now - since > c.PREEMPT_AGAIN_S:
-                since, asked = now, 0
-            wanted = -(-row.offer // parts) - asked
-            if (spec.rank <= PREEMPTABLE_RANK or row.late or wanted <= 0
-                    or row.waited_s + now - self.offers[label][0] < c.PREEMPT_AFTER_S):
-                continue
-            candidate = self.part.candidate(machine, now)
-            if candidate is None or machine.reserved or machine.halts:
-                return
-            victims, made = placement.to_stop(candidate, spec, wanted, self.part.victims(machine, now))
-            if victims:
-                self.stopped_for[key] = (since, asked + made)
-                self.part.stop(machine, victims)
-                log.info("machine=%s stopped=%d cause=job %s waits", machine.name, len(victims), row.job)
-                return
 
     # -- rounds ----------------------------------------------------------------------
 
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -80,34 +80,6 @@
     return row.late, -rank, due_in_s
 
 
-@dataclass(frozen=True)
-class Victim:
-    """A running task that may be stopped for work of higher priority."""
-
-    job: str
-    index: int
-    spec: JobSpec
-    ran_s: float
-
-
-def to_stop(machine: Candidate, spec: JobSpec, wanted: int, victims: Iterable[Victim]) -> tuple[list[Victim], int]:
-    """The fewest running tasks, youngest first, to make room for tasks of higher priority; how many then fit."""
-    if not allowed(spec, machine.type, machine.zone, machine.spot):
-        return [], 0
-    room, chosen, best, made = machine.free, [], [], 0
-    for victim in sorted(victims, key=lambda v: (v.spec.rank, v.ran_s)):
-        if victim.spec.rank >= spec.rank:
-            continue
-        room = minus(room, victim.spec, -1)
-        chosen.append(victim)
-        count = min(wanted, fits(spec, room))
-        if count > made:
-            best, made = list(chosen), count
-        if made >= wanted:
-            break
-    return best, made
-
-
 def plan(candidates: Iterable[Candidate], queue: Iterable[tuple[str, QueueRow, JobSpec]]) -> list[Wanted]:
     """What to ask for; ``queue`` is sorted, soonest deadline first."""
     room = {m.name: m.free for m in candidates}
