--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -28,6 +28,7 @@
 from .placement import Room, allowed, fits
 from .wire import JobSpec, MachineType
 
+
 @dataclass(frozen=True)
 class Kind:
     """What can be rented: a type in a zone, spot or ordinary."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -63,7 +63,7 @@
                     return self.reply(200, {"epoch": state["epoch"], "log": log})
             with lock:
                 if url.path == "/kv":
-                    rows = [{"k": k, "data": v, "stamp": s} for k, (v, s) in sorted(state["data"].items())
+                    rows = [{"k": k, "data": v, "stamp": s} for k, (v, s, _) in sorted(state["data"].items())
                             if k > query.get("from", "")]
                     return self.reply(200, {"rows": rows, "has_next": False, "epoch": state["epoch"]})
                 found = state["data"].get(url.path[4:])
@@ -80,13 +80,13 @@
             if self.path != "/commit":
                 return self.reply(200, {})
             with lock:
-                failed = [c["k"] for c in body["if"] if state["data"].get(c["k"], (0, 0))[1] != c["stamp"]]
+                failed = [c["k"] for c in body["if"] if state["data"].get(c["k"], (0, 0, None))[1] != c["stamp"]]
                 if failed:
                     return self.reply(409, {"failed": failed, "epoch": state["epoch"]})
                 state["epoch"] += 1
                 for write in body["writes"]:
                     if "put" in write:
-                        state["data"][write["put"]] = (write["data"], state["epoch"])
+                        state["data"][write["put"]] = (write["data"], state["epoch"], write.get("permit"))
                     else:
                         state["data"].pop(write["drop"], None)
                     state["log"].append({**write, "stamp": state["epoch"]})
@@ -96,7 +96,8 @@
             self.body()
             with lock:
                 state["epoch"] += 1
-                for key in [k for k in state["data"] if k.startswith("ab/m/")]:
+                permit = int(self.path.rpartition("/")[2])
+                for key in [k for k, v in state["data"].items() if v[2] == permit]:
                     del state["data"][key]
                     state["log"].append({"drop": key, "stamp": state["epoch"]})
             return self.reply(200, {})
