--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -378,6 +378,13 @@
                 result.append(name)
         return result
 
+    def fetch_s(self, machine: Machine, spec: JobSpec) -> float:
+        """How long the machine would fetch the image; 0 if it has it."""
+        kind = self.types.get(machine.type)
+        if kind is None or spec.image in machine.images or kind.fetch_gb_per_s <= 0:
+            return 0.0
+        return spec.image_gb / kind.fetch_gb_per_s
+
     def candidate(self, machine: Machine, now: float) -> Candidate | None:
         """The machine for placement, if tasks may go there."""
         if machine.state is not MachineState.UP or not machine.recorded or now < machine.aside_until:
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -439,7 +439,7 @@
                                 if placement.allowed(spec, other.type, other.zone, other.spot))
                 if left > 0 and spec is not None:
                     due = row.due_in_s - (now - since)
-                    order = placement.order(row, spec, due)
+                    order = placement.order(row, spec, due + self.part.fetch_s(machine, spec))
                     queue.append((order, label, msgspec.structs.replace(row, offer=left), spec))
         queue.sort(key=lambda entry: entry[:2])
         for want in placement.plan([candidate], [entry[1:] for entry in queue]):
