Follow the store well within the ttl, however short it is

Cause: with a short lease and cancel_s, the ttl fell below the 2 s a follow call waits, so the view went stale and the leader stopped leading. At the deployments' ttl of 12 s nothing changes.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -153,7 +153,9 @@
         while True:
             sent = now()
             try:
-                changes = await self.store.follow(self.node.replica.epoch)
+                # Well within the ttl, however short the deployment makes it: answers keep the view fresh.
+                wait_s = min(c.FOLLOW_WAIT_S, self.membership.hold.ttl_s / c.HOLD_RENEWALS)
+                changes = await self.store.follow(self.node.replica.epoch, wait_s)
             except TooOld:
                 await self.load_replica()
                 continue
--- a/alderbridge/store.py
+++ b/alderbridge/store.py
@@ -97,7 +97,7 @@
         """What has changed since, without waiting."""
         return await self.follow(epoch, 0.0)
 
-    async def follow(self, epoch: int, wait_s: float = c.FOLLOW_WAIT_S) -> wire.Changes:
+    async def follow(self, epoch: int, wait_s: float) -> wire.Changes:
         wait_ms = int(wait_s * 1000)
         status, answer = await self._call("GET", f"/follow?starts={ROOT}&from={epoch}&wait_ms={wait_ms}",
                                           timeout_s=c.FOLLOW_WAIT_S + c.STATE_TIMEOUT_S, client=self.follower)
