--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -179,7 +180,7 @@
         queue = self.demands(now)
         resources: list[Resource] = []
         booting: list[Resource] = []
-        idle: list[tuple[int, str]] = []
+        idle: list[tuple[Resource, str]] = []
         alive = 0
         for name, rental in self.rentals.items():
             if rental.state is RentalState.RETURNED:
@@ -194,26 +195,23 @@
             for name, (row, at) in rows.items():
                 if name not in self.rentals and row.silent_s + now - at > c.SILENT_S:
                     decision.give_back.append(name)  # recorded, silent and not listed: most likely taken
-        for index, name in idle:
+        walk = policy.Walk(resources, queue)
+        for resource, name in idle:
             rental = self.rentals[name]
             if (policy.block_ends(now - rental.rented_at, 2 * c.LEADER_ROUND_S)
-                    and not policy.keep_idle(index, resources, queue)):
+                    and not policy.keep_idle(walk, resource)):
                 self.leave(name, now, decision, "idle at the end of its block")
-                resources[index].free = (0.0, 0.0, 0.0)
-        below_cap = self.tuning.max_machines - alive
-        wanted = policy.machines_wanted(resources, queue, self.market, now, min(below_cap, c.RENT_BATCH))
+        below_cap = max(0, self.tuning.max_machines - alive)
+        wanted = policy.machines_wanted(walk, self.market, now, below_cap, Counter(r.kind for r in resources))
         if now - self.hard_at >= c.HARD_CHECK_S:
             self.hard_at = now
             hard = policy.hard_check(queue, self.market, now, booting, below_cap)
             wanted += hard[len(wanted):]
-        counts: dict[Kind, int] = {}
-        for kind in wanted:
-            counts[kind] = counts.get(kind, 0) + 1
-        decision.rent = [(kind, min(count, c.RENT_BATCH)) for kind, count in counts.items()]
+        decision.rent = [(kind, min(count, c.RENT_BATCH)) for kind, count in Counter(wanted).items()]
         return decision
 
     def _up(self, name: str, rental: Rental, row: RoomRow, at: float, now: float, decision: Decision,
-            resources: list[Resource], idle: list[tuple[int, str]]) -> None:
+            resources: list[Resource], idle: list[tuple[Resource, str]]) -> None:
         silent = row.silent_s + (now - at)
         fresh = now - at < 3 * c.LEADER_ROUND_S
         # A return is proof at once that nothing is left there; a lapsed lease takes longer. The
@@ -230,9 +228,10 @@
         elif rental.state is RentalState.LEAVING:
             decision.drain.append(name)  # its part has not said so yet
         elif row.state == "up":
-            resources.append(Resource(rental.kind, row.free, row.ends))
+            resource = Resource(rental.kind, row.free, row.ends)
+            resources.append(resource)
             if row.idle_s > 0 and fresh and not row.ends:
-                idle.append((len(resources) - 1, name))
+                idle.append((resource, name))
         elif row.state == "expected" and rental.kind.type in self.market.types:
             resources.append(Resource(rental.kind, self.market.room(rental.kind)))
 
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -20,7 +20,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from . import constants as c
@@ -113,22 +113,33 @@
 
 
 class _Slots:
-    """Slots of machines of one kind and size, as a heap of the times they come free."""
+    """Slots of one size on machines of one kind: a heap of (time they come free, how many)."""
 
     def __init__(self, kind: Kind, size: JobSpec) -> None:
         self.kind, self.size = kind, size
-        self.heap: list[float] = []
+        self.counts: dict[float, int] = {}
+        self.heap: list[tuple[float, int]] = []
+        self.total = 0
 
-    def add(self, resource: Resource) -> None:
+    def add(self, resource: Resource, sign: int = 1) -> None:
         free, count = resource.free, fits(self.size, resource.free)
-        self.heap += [0.0] * count
+        self._put(0.0, sign * count)
         for end, cpus, memory, gpus in sorted(resource.ends):
             free = (free[0] + cpus, free[1] + memory, free[2] + gpus)
             now = fits(self.size, free)
             if now > count:
-                self.heap += [end] * (now - count)
+                self._put(end, sign * (now - count))
                 count = now
 
+    def _put(self, time: float, count: int) -> None:
+        if count:
+            self.counts[time] = self.counts.get(time, 0) + count
+
+    def start(self) -> None:
+        self.heap = [(time, count) for time, count in self.counts.items() if count > 0]
+        heapq.heapify(self.heap)
+        self.total = sum(count for _, count in self.heap)
+
     def per_task(self, spec: JobSpec) -> tuple[int, int]:
         """(slots a task takes, tasks a slot holds); one of them is 1."""
         ratios = [spec.cpus / self.size.cpus]
@@ -140,52 +151,96 @@
             return 0, 0
         return max(1, math.ceil(ratio - 1e-9)), max(1, math.floor(1 / ratio + 1e-9))
 
+    def take(self, slots: int, most: int) -> tuple[float, int]:
+        """The soonest ``slots`` slots, and as many more such sets as come free at that time.
+
+        Returns when the last slot of each set comes free, and the number of sets.
+        """
+        at, count = heapq.heappop(self.heap)
+        if count >= slots:
+            sets = min(most, count // slots)
+            if count > sets * slots:
+                heapq.heappush(self.heap, (at, count - sets * slots))
+            return at, sets
+        while count < slots:
+            at, more = heapq.heappop(self.heap)
+            count += more
+        if count > slots:
+            heapq.heappush(self.heap, (at, count - slots))
+        return at, 1
+
 
-def predict_breach(resources: Iterable[Resource], queue: Sequence[Demand]) -> Demand | None:
-    """The first demand, soonest deadline first, that would be assigned too late.
+class Walk:
+    """The paper's array of free times, built once a round; machines may join and leave it.
 
     Slots are sized to the head task; on a machine that the head may not use or
-    does not fit, to the soonest task that does.
+    does not fit, to the soonest task that does. Slots that come free at one time
+    are counted, not listed: the answer is that of a walk over single slots.
     """
-    pools: dict[tuple[Kind, str], _Slots] = {}
-    for resource in resources:
+
+    def __init__(self, resources: Iterable[Resource], queue: Sequence[Demand]) -> None:
+        self.queue = queue
+        self.pools: dict[tuple[Kind, str], _Slots] = {}
+        self.heads: dict[tuple[Kind, Room], Demand | None] = {}
+        for resource in resources:
+            self.add(resource)
+
+    def add(self, resource: Resource, sign: int = 1) -> None:
         total = (resource.free[0] + sum(e[1] for e in resource.ends),
                  resource.free[1] + sum(e[2] for e in resource.ends),
                  resource.free[2] + sum(e[3] for e in resource.ends))
-        for demand in queue:
-            if _may_use(demand, resource.kind) and fits(demand.spec, total):
-                key = (resource.kind, demand.spec.id)
-                if key not in pools:
-                    pools[key] = _Slots(resource.kind, demand.spec)
-                pools[key].add(resource)
-                break
-    for pool in pools.values():
-        heapq.heapify(pool.heap)
-    walked = 0
-    for demand in queue:
+        known = (resource.kind, total)
+        if known not in self.heads:
+            self.heads[known] = next((demand for demand in self.queue
+                                      if _may_use(demand, resource.kind) and fits(demand.spec, total)), None)
+        head = self.heads[known]
+        if head is not None:
+            key = (resource.kind, head.spec.id)
+            if key not in self.pools:
+                self.pools[key] = _Slots(resource.kind, head.spec)
+            self.pools[key].add(resource, sign)
+
+    def remove(self, resource: Resource) -> None:
+        self.add(resource, -1)
+
+    def breach(self, hopeless: Callable[[Demand], bool] = lambda demand: False) -> Demand | None:
+        """The first demand, soonest deadline first, that would be assigned too late.
+
+        A ``hopeless`` one, for which nothing can be rented, is passed over: it takes no slots.
+        """
+        pools = list(self.pools.values())
+        for pool in pools:
+            pool.start()
+        for demand in self.queue:
+            before = [(list(pool.heap), pool.total) for pool in pools] if hopeless(demand) else None
+            if self._assign(demand, pools):
+                continue
+            if before is None:
+                return demand
+            for pool, (heap, total) in zip(pools, before, strict=True):
+                pool.heap, pool.total = heap, total
+        return None
+
+    @staticmethod
+    def _assign(demand: Demand, pools: Iterable[_Slots]) -> bool:
+        """Put the tasks onto the earliest slots; False where one comes too late."""
         usable = []
-        for pool in pools.values():
+        for pool in pools:
             if pool.heap and _may_use(demand, pool.kind):
                 slots, tasks = pool.per_task(demand.spec)
-                if slots:
+                if slots and pool.total >= slots:
                     usable.append((pool, slots, tasks))
         left = demand.count
         while left > 0:
-            best = min((entry for entry in usable if len(entry[0].heap) >= entry[1]),
-                       key=lambda entry: entry[0].heap[0], default=None)
-            if best is None:
-                return demand
-            pool, slots, tasks = best
-            at = max(heapq.heappop(pool.heap) for _ in range(slots))
+            pool, slots, tasks = min(usable, key=lambda entry: entry[0].heap[0][0], default=(None, 0, 0))
+            if pool is None:
+                return False
+            at, sets = pool.take(slots, -(-left // tasks))
             if at > max(0.0, demand.due_in_s):
-                return demand
-            for _ in range(slots):
-                heapq.heappush(pool.heap, at + demand.run_s)
-            left -= tasks
-            walked += 1
-            if walked > c.WALKED_SLOTS:
-                return None
-    return None
+                return False
+            heapq.heappush(pool.heap, (at + demand.run_s, sets * slots))
+            left -= sets * tasks
+        return True
 
 
 @dataclass
@@ -229,28 +284,64 @@
         return min(options, key=lambda o: o[:4])[4] if options else None
 
 
-def machines_wanted(resources: list[Resource], queue: Sequence[Demand], market: Market, now: float,
-                    below_cap: int) -> list[Kind]:
-    """Base (3.2): while a breach is predicted, one more machine, counted as free."""
+def machines_wanted(walk: Walk, market: Market, now: float, below_cap: int, count: dict[Kind, int]) -> list[Kind]:
+    """Base (3.2): while a breach is predicted, one more machine, counted as free.
+
+    Machines that one demand lacks are found by doubling and halving, not one walk each.
+    """
     wanted: list[Kind] = []
-    blocked: set[str] = set()
-    resources = list(resources)
-    rest = list(queue)
-    count: dict[Kind, int] = {}
-    for resource in resources:
-        count[resource.kind] = count.get(resource.kind, 0) + 1
-    while len(wanted) < below_cap:
-        breach = predict_breach(resources, rest)
-        if breach is None:
+    count = dict(count)
+    rentable: dict[str, bool] = {}
+
+    def hopeless(demand: Demand) -> bool:
+        job = demand.spec.id
+        if job not in rentable:
+            rentable[job] = market.best(demand, now) is not None
+        return not rentable[job]
+
+    def add(demand: Demand, number: int) -> None:
+        for _ in range(number):
+            kind = market.best(demand, now, count)
+            wanted.append(kind)
+            count[kind] = count.get(kind, 0) + 1
+            walk.add(Resource(kind, market.room(kind)))
+
+    def drop(number: int) -> None:
+        for kind in wanted[len(wanted) - number:]:
+            count[kind] -= 1
+            walk.remove(Resource(kind, market.room(kind)))
+        del wanted[len(wanted) - number:]
+
+    if not market.kinds(now):
+        return wanted
+    breach = walk.breach(hopeless)
+    while breach is not None and len(wanted) < below_cap:
+        # Doubling: until this demand is served. Halving: no more than it needs.
+        low, high = 0, 1
+        add(breach, 1)
+        after = walk.breach(hopeless)
+        while after is breach and len(wanted) < below_cap:
+            more = min(high, below_cap - len(wanted))
+            low, high = high, high + more
+            add(breach, more)
+            after = walk.breach(hopeless)
+        if after is breach:
             break
-        kind = market.best(breach, now, count)
-        if kind is None:
-            blocked.add(breach.spec.id)
-            rest = [demand for demand in rest if demand.spec.id not in blocked]
-            continue
-        wanted.append(kind)
-        count[kind] = count.get(kind, 0) + 1
-        resources.append(Resource(kind, market.room(kind)))
+        have = high
+        while high - low > 1:
+            middle = (low + high) // 2
+            if middle < have:
+                drop(have - middle)
+            else:
+                add(breach, middle - have)
+            have = middle
+            if walk.breach(hopeless) is breach:
+                low = middle
+            else:
+                high = middle
+        if have != high:
+            add(breach, high - have)
+        breach = walk.breach(hopeless)
     return wanted
 
 
@@ -283,9 +374,13 @@
     return wanted
 
 
-def keep_idle(index: int, resources: Sequence[Resource], queue: Sequence[Demand]) -> bool:
-    """3.2: an idle rented machine stays if removing it predicts a breach."""
-    return predict_breach([r for i, r in enumerate(resources) if i != index], queue) is not None
+def keep_idle(walk: Walk, resource: Resource) -> bool:
+    """3.2: an idle rented machine stays if removing it predicts a breach; else it has left the walk."""
+    walk.remove(resource)
+    if walk.breach() is None:
+        return False
+    walk.add(resource)
+    return True
 
 
 def block_ends(age_s: float, within_s: float) -> bool:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,8 +1,12 @@
 """The paper's heuristics, on small cases worked out by hand."""
 
 import random
+from collections import Counter
 
-from alderbridge import policy
+import msgspec
+import pytest
+
+from alderbridge import placement, policy
 from alderbridge.config import Objective, Tuning
 from alderbridge.policy import Demand, Kind, Market, Resource
 from alderbridge.wire import JobSpec, MachineType
@@ -23,32 +27,115 @@
     return Resource(Kind("big", "a", spot), (free, 32.0 if free else 0.0, 0.0), ends)
 
 
+def predict_breach(resources, queue, hopeless=lambda demand: False):
+    return policy.Walk(resources, queue).breach(hopeless)
+
+
+def plain_breach(resources, queue, hopeless=lambda demand: False):
+    """The paper's walk as it stands in the text: one entry a slot, one task at a time."""
+    pools = {}
+    for resource in resources:
+        total = tuple(resource.free[i] + sum(end[i + 1] for end in resource.ends) for i in range(3))
+        for one in queue:
+            if policy._may_use(one, resource.kind) and placement.fits(one.spec, total):
+                slots = pools.setdefault((resource.kind, one.spec.id), (one.spec, []))[1]
+                free, count = resource.free, placement.fits(one.spec, resource.free)
+                slots += [0.0] * count
+                for end, *freed in sorted(resource.ends):
+                    free = tuple(a + b for a, b in zip(free, freed, strict=True))
+                    slots += [end] * (placement.fits(one.spec, free) - count)
+                    count = max(count, placement.fits(one.spec, free))
+                break
+    for one in queue:
+        before = {key: list(slots) for key, (_, slots) in pools.items()}
+        for _ in range(one.count):
+            usable = [slots for (kind, _), (_, slots) in pools.items() if slots and policy._may_use(one, kind)]
+            if not usable or min(map(min, usable)) > max(0.0, one.due_in_s):
+                if not hopeless(one):
+                    return one
+                for key, slots in before.items():
+                    pools[key][1][:] = slots
+                break
+            soonest = min(usable, key=min)
+            at = min(soonest)
+            soonest.remove(at)
+            soonest.append(at + one.run_s)
+    return None
+
+
+def random_case(rng, machines):
+    """Tasks of one size, so that a walk over single slots is easy to write plainly."""
+    queue = [Demand(spec(f"wk-{i}", tasks=50, spot=rng.random() < 0.7, zone=rng.choice([None, None, "a", "b"])),
+                    rng.randint(1, 30), rng.uniform(-5.0, 60.0), rng.choice([5.0, 20.0, 60.0]))
+             for i in range(rng.randint(1, 8))]
+    queue.sort(key=lambda one: one.due_in_s)
+    resources = []
+    for _ in range(rng.randint(0, machines)):
+        busy = rng.randint(0, 4)
+        ends = [(float(rng.randint(0, 40)), 2.0, 8.0, 0.0) for _ in range(busy)]
+        kind = Kind("big", rng.choice("ab"), rng.random() < 0.5)
+        resources.append(Resource(kind, (8.0 - 2.0 * busy, 32.0 - 8.0 * busy, 0.0), ends))
+    return resources, queue
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_counted_walk_answers_as_the_plain_one(seed):
+    rng = random.Random(seed)
+    for _ in range(60):
+        resources, queue = random_case(rng, 12)
+        lost = {one.spec.id for one in queue if rng.random() < 0.2}
+        walk = policy.Walk(resources, queue)
+        for hopeless in (lambda one: False, lambda one, lost=lost: one.spec.id in lost):
+            assert walk.breach(hopeless) is plain_breach(resources, queue, hopeless)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_doubling_and_halving_rents_what_one_by_one_would(seed):
+    rng = random.Random(seed)
+    for _ in range(40):
+        resources, queue = random_case(rng, 8)
+        market = Market({"big": msgspec.structs.replace(BIG, zones=["a", "b"])}, ["a", "b"], 0.9)
+        count = Counter(resource.kind for resource in resources)
+        fleet, one_by_one = list(resources), []
+        while (breach := plain_breach(fleet, queue)) is not None:
+            kind = market.best(breach, 0.0, count)
+            one_by_one.append(kind)
+            count[kind] += 1
+            fleet.append(Resource(kind, market.room(kind)))
+        counts = Counter(resource.kind for resource in resources)
+        wanted = policy.machines_wanted(policy.Walk(resources, queue), market, 0.0, 1000, counts)
+        assert wanted == one_by_one
+
+
 def test_no_breach_while_slots_are_free():
-    assert policy.predict_breach([big()], [demand(4)]) is None
+    assert predict_breach([big()], [demand(4)]) is None
 
 
 def test_breach_when_the_next_slot_comes_too_late():
-    assert policy.predict_breach([big()], [demand(5)]).count == 5
+    assert predict_breach([big()], [demand(5)]).count == 5
 
 
 def test_slots_free_at_the_expected_end_of_their_task():
     ends = [(30.0, 2.0, 8.0, 0.0)] * 4
-    assert policy.predict_breach([big(0.0, ends)], [demand(4)]) is None
-    assert policy.predict_breach([big(0.0, ends)], [demand(4, due=29.0)]) is not None
+    assert predict_breach([big(0.0, ends)], [demand(4)]) is None
+    assert predict_breach([big(0.0, ends)], [demand(4, due=29.0)]) is not None
 
 
 def test_spot_machines_are_no_slots_for_a_job_that_may_not_use_them():
-    assert policy.predict_breach([big(spot=True)], [demand(1, spot=False)]) is not None
-    assert policy.predict_breach([big(spot=False)], [demand(1, spot=False)]) is None
+    assert predict_breach([big(spot=True)], [demand(1, spot=False)]) is not None
+    assert predict_breach([big(spot=False)], [demand(1, spot=False)]) is None
 
 
 def test_rents_until_no_breach_is_predicted_and_spot_below_the_bid():
     market = Market({"big": BIG}, ["a"], 0.9)
-    wanted = policy.machines_wanted([], [demand(9)], market, 0.0, 10)
-    assert wanted == [Kind("big", "a", True)] * 3
+
+    def wanted(below_cap):
+        return policy.machines_wanted(policy.Walk([], [demand(9)]), market, 0.0, below_cap, {})
+
+    assert wanted(10) == [Kind("big", "a", True)] * 3
     market.bid_share = 0.2
-    assert policy.machines_wanted([], [demand(9)], market, 0.0, 10) == [Kind("big", "a", False)] * 3
-    assert len(policy.machines_wanted([], [demand(9)], market, 0.0, 2)) == 2
+    assert wanted(10) == [Kind("big", "a", False)] * 3
+    assert len(wanted(2)) == 2
 
 
 def test_hard_check_asks_only_near_a_breach_and_counts_what_is_booting():
@@ -82,8 +169,9 @@
 
 
 def test_idle_machine_stays_only_if_its_removal_predicts_a_breach():
-    assert policy.keep_idle(0, [big(), big()], [demand(8)])
-    assert not policy.keep_idle(0, [big(), big()], [demand(4)])
+    fleet = [big(), big()]
+    assert policy.keep_idle(policy.Walk(fleet, [demand(8)]), fleet[0])
+    assert not policy.keep_idle(policy.Walk(fleet, [demand(4)]), fleet[0])
 
 
 def test_shares_of_a_limit_never_exceed_it():
