Tell homes only what is news to them, find a machine's tasks by its name

Cause: each report sent a message to all five members, and each such message went through all runs of all jobs at its receiver. A part now remembers what it told each home under this view; a home whose grant came since is told in any case, as its silence would be taken for the grant still being on its way. A grant for a machine that is confirmed gone meanwhile is answered (it waited for the next view).

--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -127,6 +127,7 @@
         self.next = 0 if fresh else record.mark  # from here on, nothing was ever granted
         self.again: list[int] = []  # heap of tasks below ``next`` that wait
         self.runs: dict[int, Run] = {}
+        self.on: dict[str, set[int]] = {}  # machine -> tasks whose run is there
         self.errors = 0
         self.paused_until = 0.0
         self.changed_at: float | None = None  # since when the record lags behind
@@ -185,34 +186,29 @@
 
     def grant(self, index: int, run: Run) -> None:
         self.runs[index] = run
+        self.on.setdefault(run.machine, set()).add(index)
 
     def adopt(self, index: int, run: Run) -> None:
         """A report shows a task that was not known to be on a machine."""
         self.unknown.discard(index)
         self.next = max(self.next, index + 1)
-        if index in self.again:
-            self.again.remove(index)
-            heapq.heapify(self.again)
-        self.runs[index] = run
+        self._no_longer_waiting(index)
+        self.grant(index, run)
 
     def progress(self, index: int, state: TaskState) -> None:
         self.runs[index].state = state
 
     def free(self, index: int) -> None:
         """Proof that the task is on no machine: it waits again."""
-        self.runs.pop(index, None)
-        self.unknown.discard(index)
+        self._leave(index)
         if self.state is JobState.ACTIVE and index not in self.done:
             heapq.heappush(self.again, index)
 
     def finish(self, index: int, now: float) -> None:
-        self.runs.pop(index, None)
-        self.unknown.discard(index)
+        self._leave(index)
         if self.state is not JobState.ACTIVE:
             return
-        if index in self.again:
-            self.again.remove(index)
-            heapq.heapify(self.again)
+        self._no_longer_waiting(index)
         self.done.add(index)
         self.errors = 0
         self.touch(now)
@@ -220,6 +216,20 @@
             self.state = JobState.DONE
             log.info("job=%s state=done cause=last task", self.spec.id)
 
+    def _leave(self, index: int) -> None:
+        self.unknown.discard(index)
+        run = self.runs.pop(index, None)
+        if run is not None:
+            there = self.on[run.machine]
+            there.discard(index)
+            if not there:
+                del self.on[run.machine]
+
+    def _no_longer_waiting(self, index: int) -> None:
+        if index in self.again:
+            self.again.remove(index)
+            heapq.heapify(self.again)
+
     def fail(self, index: int, now: float) -> None:
         """The task ended with an error: it waits, and the job pauses a little longer each time."""
         self.free(index)
@@ -441,8 +451,8 @@
             self._seen_task(label, seen, task, now)
         present.update((job, index) for job, index, _ in seen.held)
         for job in self.jobs.values():
-            for index, run in list(job.runs.items()):
-                if run.machine == seen.machine and (job.spec.id, index) not in present and run.seq <= seen.upto:
+            for index in [*job.on.get(seen.machine, ())]:
+                if (job.spec.id, index) not in present and job.runs[index].seq <= seen.upto:
                     job.free(index)
         if seen.machine in self.barrier:
             self.barrier.discard(seen.machine)
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from enum import Enum
@@ -19,6 +20,7 @@
 import msgspec
 
 from . import constants as c
+from . import placement
 from .mesh import Grant, Halt, RoomRow, Seen, SeenTask
 from .placement import Candidate
 from .wire import Beat, JobSpec, MachineType, clear_order, halt_order, run_order, split_task
@@ -67,6 +69,8 @@
         self.reserved: dict[int, tuple[str, int]] = {}  # take -> job, count
         self.halts: dict[Task, tuple[int, float]] = {}
         self.clears: set[tuple[str, int, int]] = set()
+        self.told: dict[str, tuple[list, list]] = {}  # home -> what it was last told
+        self.owed: set[str] = set()  # homes whose grants came since
         self.images: OrderedDict[str, float] = OrderedDict()
         self.idle_since: float | None = now
         self.errors: list[str] = []  # jobs of the errors in a row
@@ -274,7 +278,10 @@
         return orders
 
     def tell_homes(self, machine: Machine) -> None:
-        """To every home, what of its tasks is on the machine: silence would prove nothing."""
+        """To every home, what of its tasks is on the machine: silence would prove nothing.
+
+        A home that knows it all, and has granted nothing since, has nothing to learn.
+        """
         if not machine.proven:
             return
         tasks: dict[str, list[SeenTask]] = {label: [] for label in self.members}
@@ -288,19 +295,26 @@
             if home in held:
                 held[home].append((job, index, pending.attempt))
         for label in self.members:
-            self.send(label, Seen(machine.name, machine.zone, self.upto(label), tasks[label], held[label]))
+            news = (tasks[label], held[label])
+            if label in machine.owed or machine.told.get(label) != news:
+                machine.told[label] = news
+                self.send(label, Seen(machine.name, machine.zone, self.upto(label), *news))
+        machine.owed.clear()
 
     # -- messages of homes -------------------------------------------------
 
-    def on_grant(self, grant: Grant, now: float) -> None:
+    def on_grant(self, label: str, grant: Grant, now: float) -> None:
         machine = self.machines.get(grant.machine)
         if machine is None:
+            if grant.tasks and grant.machine in self.returned:  # gone while the grant was on its way
+                self.send(label, Seen(grant.machine, "", self.upto(label), [], []))
             return
         machine.reserved.pop(grant.take, None)
         if not grant.tasks:
             if machine.idle and machine.idle_since is None:
                 machine.idle_since = now
             return
+        machine.owed.add(label)
         if machine.state is not MachineState.UP:
             self.tell_homes(machine)  # never ordered: the home takes them back
             return
@@ -418,18 +432,16 @@
     def room(self, now: float, run_time: Callable[[JobSpec], float]) -> list[RoomRow]:
         rows = []
         for machine in self.machines.values():
-            ends = []
-            for (job, _), on in machine.live.items():
-                spec = self.spec_of(job)
-                if spec is not None:
-                    spent = now - on.since if on.status == "running" else 0.0
-                    ends.append((max(0.0, run_time(spec) - spent), spec.cpus, spec.memory_gb, spec.gpus))
-            for job, _ in machine.pending:
+            ends: dict[float, tuple[float, float, float]] = {}  # whole seconds: what ends together is one entry
+            running = [(job, on.since) for (job, _), on in machine.live.items() if on.status == "running"]
+            starting = [(job, now) for (job, _), on in machine.live.items() if on.status != "running"]
+            for job, since in running + starting + [(job, now) for job, _ in machine.pending]:
                 spec = self.spec_of(job)
                 if spec is not None:
-                    ends.append((run_time(spec), spec.cpus, spec.memory_gb, spec.gpus))
+                    end = float(math.ceil(max(0.0, run_time(spec) - (now - since))))
+                    ends[end] = placement.minus(ends.get(end, (0.0, 0.0, 0.0)), spec, -1)
             idle = 0.0 if machine.idle_since is None else now - machine.idle_since
             state = "aside" if machine.state is MachineState.UP and now < machine.aside_until else machine.state.value
-            rows.append(RoomRow(machine.name, machine.type, machine.zone, machine.spot, state, idle,
-                                self.free(machine), ends, now - machine.heard_at))
+            rows.append(RoomRow(machine.name, machine.type, machine.zone, machine.spot, state, idle, self.free(machine),
+                                [(end, *freed) for end, freed in ends.items()], now - machine.heard_at))
         return rows
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -172,7 +172,7 @@
             case m.Take():
                 self.home.on_take(label, body, self.now, self.may_act())
             case m.Grant():
-                self.part.on_grant(body, self.now)
+                self.part.on_grant(label, body, self.now)
             case m.Seen():
                 self.home.on_seen(label, body, self.now)
             case m.Clear():
@@ -434,10 +434,12 @@
             for row in rows:
                 left = row.offer - self.taken.get((label, row.job), 0)
                 spec = self.spec_of(row.job)
-                if spec is not None and others is not None and row.waited_s + now - since < c.GATHER_S:
+                if left <= 0 or spec is None or not placement.fits(spec, candidate.free):
+                    continue
+                if others is not None and row.waited_s + now - since < c.GATHER_S:
                     left -= sum(placement.fits(spec, other.free) for other in others
                                 if placement.allowed(spec, other.type, other.zone, other.spot))
-                if left > 0 and spec is not None:
+                if left > 0:
                     due = row.due_in_s - (now - since)
                     order = placement.order(row, spec, due + self.part.fetch_s(machine, spec))
                     queue.append((order, label, msgspec.structs.replace(row, offer=left), spec))
