--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -33,6 +33,7 @@
 MAX_BODY = 64 * 1024  # bytes; PROTOCOL's limit for request bodies
 MAX_FRAME = 4 * 1024 * 1024  # bytes; one mesh message, far above any real one
 IDLE_S = 75.0  # s; a keep-alive connection without a request is closed
+SWEEP_S = 1.0  # s; overdue connections are looked for this often
 REQUEST_S = 5.0  # s; time to finish sending a request that has begun
 SOCKET_RESERVE = 0.8  # share of max_sockets that may be accepted connections
 ASK_S = 1.2  # s; a question to another controller, users wait 2 s for a status
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -41,7 +41,7 @@
         self.membership = self.node.membership
         self.store = Store(platform.endpoints.state)
         self.cloud = Cloud(platform.endpoints.cloud)
-        self.mesh = m.Mesh(platform.mesh_addr, {peer.label: peer.addr for peer in platform.peers}, self.on_frame)
+        self.mesh = m.Mesh(platform.mesh_addr, {peer.label: peer.addr for peer in platform.peers}, self.on_frames)
         self.waiters: dict[object, list[curio.Event]] = {}  # submission or job -> who waits for it
         self.asks: dict[int, tuple[curio.Event, list[m.Reply]]] = {}
         self.ask_count = 0
@@ -50,8 +50,9 @@
         self.rent_names = 0
         self.server = Server(self.handle, int(shared.limits.max_sockets * c.SOCKET_RESERVE))
 
-    async def on_frame(self, frame: m.Frame) -> None:
-        self.node.on_frame(frame, now())
+    async def on_frames(self, frames: list[m.Frame]) -> None:
+        for frame in frames:
+            self.node.on_frame(frame, now())
         await self.after()
 
     async def after(self) -> None:
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -9,7 +9,7 @@
 import logging
 import struct
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import curio
 import msgspec
@@ -173,10 +173,27 @@
     body: Body
 
 
+_HEAD = struct.Struct(">I")  # a frame's length goes before it
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Frame).decode
 
 
+def split_frames(buffer: bytearray) -> Iterator[Frame]:
+    """The whole frames at the front of ``buffer``, which keeps the rest."""
+    at = 0
+    try:
+        while len(buffer) - at >= _HEAD.size:
+            (size,) = _HEAD.unpack_from(buffer, at)
+            if size > c.MAX_FRAME:
+                raise msgspec.DecodeError(f"frame of {size} bytes")
+            if len(buffer) - at - _HEAD.size < size:
+                return
+            at += _HEAD.size + size
+            yield _decode(bytes(buffer[at - size:at]))
+    finally:
+        del buffer[:at]
+
+
 class Channel:
     """Ordered messages to and from one member under one mandate."""
 
@@ -232,7 +249,7 @@
 class Mesh:
     """One outgoing connection to each peer, and whatever comes in."""
 
-    def __init__(self, listen: str, peers: dict[str, str], deliver: Callable[[Frame], Awaitable[None]]) -> None:
+    def __init__(self, listen: str, peers: dict[str, str], deliver: Callable[[list[Frame]], Awaitable[None]]) -> None:
         self.listen = address(listen)
         self.peers = {label: address(addr) for label, addr in peers.items()}
         self.deliver = deliver
@@ -247,7 +264,7 @@
         if label not in self.connected or len(queue) > c.MESH_BACKLOG:
             return
         data = _encode(frame)
-        queue.append(struct.pack(">I", len(data)) + data)
+        queue.append(_HEAD.pack(len(data)) + data)
 
     async def flush(self) -> None:
         for label, queue in self.queues.items():
@@ -258,21 +275,22 @@
         await curio.tcp_server(*self.listen, self._incoming, backlog=64, reuse_address=True)
 
     async def _incoming(self, client: curio.io.Socket, _addr: object) -> None:
-        stream = client.as_stream()
+        buffer = bytearray()
         try:
             while True:
-                head = await curio.timeout_after(c.MESH_SILENCE_S * 2, stream.read_exactly, 4)
-                (size,) = struct.unpack(">I", head)
-                if size > c.MAX_FRAME:
-                    raise msgspec.DecodeError(f"frame of {size} bytes")
-                frame = _decode(await curio.timeout_after(c.MESH_SILENCE_S * 2, stream.read_exactly, size))
-                await self.deliver(frame)
+                data = await curio.timeout_after(c.MESH_SILENCE_S * 2, client.recv, 262144)
+                if not data:
+                    return
+                buffer += data
+                frames = list(split_frames(buffer))
+                if frames:
+                    await self.deliver(frames)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             # A peer of another version: said once, then its connection is dropped.
             if str(error) not in self.complained and len(self.complained) < 100:
                 self.complained.add(str(error))
                 log.error("message dropped with its connection: %s", error)
-        except (OSError, EOFError, curio.TaskTimeout):
+        except (OSError, curio.TaskTimeout):
             pass
 
     async def send_to(self, label: str) -> None:
--- a/alderbridge/net.py
+++ b/alderbridge/net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -12,6 +13,7 @@
 from . import constants as c
 
 log = logging.getLogger("net")
+now = time.monotonic
 
 Answer = tuple[int, bytes, list[tuple[str, str]]]
 Handler = Callable[[str, str, bytes], Awaitable[Answer]]
@@ -49,87 +51,112 @@
         self.level -= amount
 
 
+class Connection:
+    """One client's connection, and until when it may stay as it is."""
+
+    def __init__(self, client: curio.io.Socket, task: curio.Task) -> None:
+        self.client, self.task = client, task
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        self.deadline = float("inf")
+
+    def allow(self, seconds: float) -> None:
+        self.deadline = now() + seconds
+
+    async def event(self) -> object:
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self.http.they_are_waiting_for_100_continue:
+                await self.client.sendall(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
+            self.http.receive_data(await self.client.recv(65536))
+
+    async def body(self) -> bytes | None:
+        """None where it is larger than allowed."""
+        parts, size = [], 0
+        while True:
+            event = await self.event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > c.MAX_BODY:
+                    return None
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise h11.RemoteProtocolError("request cut short")
+
+    async def respond(self, answer: Answer, close: bool) -> None:
+        status, body, extra = answer
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *extra]
+        if close:
+            headers.append(("Connection", "close"))
+        send = self.http.send
+        data = send(h11.Response(status_code=status, headers=headers))
+        data += send(h11.Data(data=body)) + send(h11.EndOfMessage())
+        self.allow(c.REQUEST_S)
+        await self.client.sendall(data)
+
+
 class Server:
     """Serves requests one after the other on each connection, all of it bounded."""
 
     def __init__(self, handler: Handler, max_connections: int) -> None:
         self.handler = handler
         self.max_connections = max_connections
-        self.open = 0
+        self.open: set[Connection] = set()
 
     async def serve(self, host: str, port: int) -> None:
+        await curio.spawn(self.sweep, daemon=True)
         await curio.tcp_server(host, port, self._client, backlog=512, reuse_address=True)
 
+    async def sweep(self) -> None:
+        """End what is overdue. One look a second costs less than a timer around each step of each request."""
+        while True:
+            await curio.sleep(c.SWEEP_S)
+            for connection in [one for one in self.open if now() > one.deadline]:
+                await connection.task.cancel(blocking=False)
+
     async def _client(self, client: curio.io.Socket, _addr: object) -> None:
-        if self.open >= self.max_connections:
+        if len(self.open) >= self.max_connections:
             return
-        self.open += 1
+        connection = Connection(client, await curio.current_task())
+        self.open.add(connection)
         try:
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self._connection(client)
-        except (OSError, h11.ProtocolError, curio.TaskTimeout):
+            await self._serve(connection)
+        except (OSError, h11.ProtocolError):
             pass
         finally:
-            self.open -= 1
+            self.open.discard(connection)
 
-    async def _connection(self, client: curio.io.Socket) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+    async def _serve(self, connection: Connection) -> None:
+        http = connection.http
         while True:
             try:
-                request = await curio.timeout_after(c.IDLE_S, self._event, conn, client)
+                connection.allow(c.IDLE_S)
+                request = await connection.event()
                 if not isinstance(request, h11.Request):
                     return
-                body = await curio.timeout_after(c.REQUEST_S, self._body, conn, client)
+                connection.allow(c.REQUEST_S)
+                body = await connection.body()
             except h11.RemoteProtocolError as error:
-                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                    await self._respond(conn, client, (error.error_status_hint, b'{"error":"malformed"}', []), True)
+                if http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    await connection.respond((error.error_status_hint, b'{"error":"malformed"}', []), True)
                 return
             if body is None:
-                await self._respond(conn, client, (413, b'{"error":"body too large"}', []), True)
+                await connection.respond((413, b'{"error":"body too large"}', []), True)
                 return
+            connection.deadline = float("inf")  # what the handler waits for is bounded there
             try:
                 answer = await self.handler(request.method.decode(), request.target.decode("latin-1"), body)
             except Exception:
                 log.exception("request failed method=%s target=%s", request.method, request.target)
                 answer = (500, b'{"error":"internal"}', [])
-            await self._respond(conn, client, answer, False)
-            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+            await connection.respond(answer, False)
+            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                 return
-            conn.start_next_cycle()
-
-    @staticmethod
-    async def _event(conn: h11.Connection, client: curio.io.Socket) -> object:
-        while True:
-            event = conn.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if conn.they_are_waiting_for_100_continue:
-                await client.sendall(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-            conn.receive_data(await client.recv(65536))
-
-    async def _body(self, conn: h11.Connection, client: curio.io.Socket) -> bytes | None:
-        parts, size = [], 0
-        while True:
-            event = await self._event(conn, client)
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > c.MAX_BODY:
-                    return None
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            else:
-                raise h11.RemoteProtocolError("request cut short")
-
-    @staticmethod
-    async def _respond(conn: h11.Connection, client: curio.io.Socket, answer: Answer, close: bool) -> None:
-        status, body, extra = answer
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *extra]
-        if close:
-            headers.append(("Connection", "close"))
-        data = conn.send(h11.Response(status_code=status, headers=headers))
-        data += conn.send(h11.Data(data=body)) + conn.send(h11.EndOfMessage())
-        await curio.timeout_after(c.REQUEST_S, client.sendall, data)
+            http.start_next_cycle()
 
 
 class Client:
