--- a/alderbridge/net.py
+++ b/alderbridge/net.py
@@ -181,7 +181,11 @@
             except (OSError, h11.ProtocolError, EOFError):
                 if method != "GET":  # it may have been carried out: the caller decides
                     raise
-        sock = await curio.timeout_after(c.CONNECT_S, curio.open_connection, self.host, self.port)
+        try:
+            sock = await curio.timeout_after(c.CONNECT_S, curio.open_connection, self.host, self.port)
+        except curio.TaskTimeout:
+            # Left to escape into the outer timeout it would be an error of its own, met by nobody.
+            raise TimeoutError("connect") from None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return await self._exchange(sock, h11.Connection(h11.CLIENT), method, target, body)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -66,3 +66,15 @@
         await listener.close()
 
     curio.run(curio.timeout_after, 20.0, play)
+
+
+def test_a_connect_that_hangs_is_no_answer(monkeypatch):
+    """It used to escape as another error, and the records of that transaction were forgotten."""
+    monkeypatch.setattr(c, "CONNECT_S", 0.01)
+
+    async def hang(*_address):
+        await curio.sleep(60.0)
+
+    monkeypatch.setattr(curio, "open_connection", hang)
+    with pytest.raises(net.Unanswered):
+        curio.run(net.Client("127.0.0.1", 1).request, "GET", "/kv")
