Fill machines in order, leave work to those with its image, digest offers once

Work that can wait for a report now fills spot before ordinary, busy before idle, the fullest first; a machine that would fetch an image for longer than a report interval leaves the work to those that have it. The rule by age (4 s) is gone: it made work that is promised a start in 6 s wait.

CPU: the walk over all offers at each report was a fifth of a controller; offers are digested when they come, and a mesh read no longer sets a timer (each costs more than the read).

--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -404,13 +404,13 @@
         if machine.state is not MachineState.UP or not machine.recorded or now < machine.aside_until:
             return None
         return Candidate(machine.name, machine.type, machine.zone, machine.spot, self.free(machine),
-                         frozenset(machine.images))
+                         machine.images)
 
-    def spare(self, machine: Machine, now: float) -> list[Candidate]:
-        """Other machines of this part that run something and may have room left."""
-        found = [self.candidate(other, now) for other in self.machines.values()
-                 if other is not machine and not other.idle]
-        return [candidate for candidate in found if candidate is not None]
+    def ahead(self, now: float) -> placement.Ahead:
+        """Machines that have room and will report soon, in the order of filling."""
+        found = [(self.candidate(machine, now), machine.idle) for machine in self.machines.values()
+                 if now - machine.heard_at < c.SILENT_S]
+        return placement.Ahead((candidate, idle) for candidate, idle in found if candidate and candidate.free[0] > 0)
 
     # -- for placement and the leader ----------------------------------------
 
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -8,6 +8,7 @@
 
 import logging
 import struct
+import time
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 
@@ -20,6 +21,7 @@
 from .config import address
 
 log = logging.getLogger("mesh")
+now = time.monotonic
 
 
 class Message(msgspec.Struct, array_like=True, tag=True, frozen=True):
@@ -257,6 +259,7 @@
         self.wake = {label: curio.Event() for label in peers}
         self.connected: set[str] = set()
         self.complained: set[str] = set()
+        self.heard: dict[curio.Task, float] = {}  # who reads an incoming connection, and when it last heard of it
 
     def put(self, label: str, frame: Frame) -> None:
         """Queue a frame; dropped while the peer is out of reach."""
@@ -272,13 +275,23 @@
                 await self.wake[label].set()
 
     async def serve(self) -> None:
+        await curio.spawn(self.sweep, daemon=True)
         await curio.tcp_server(*self.listen, self._incoming, backlog=64, reuse_address=True)
 
+    async def sweep(self) -> None:
+        """End silent connections; cheaper than a timer for each read."""
+        while True:
+            await curio.sleep(c.SWEEP_S)
+            for task in [one for one, at in self.heard.items() if now() - at > c.MESH_SILENCE_S * 2]:
+                await task.cancel(blocking=False)
+
     async def _incoming(self, client: curio.io.Socket, _addr: object) -> None:
         buffer = bytearray()
+        task = await curio.current_task()
         try:
             while True:
-                data = await curio.timeout_after(c.MESH_SILENCE_S * 2, client.recv, 262144)
+                self.heard[task] = now()
+                data = await client.recv(262144)
                 if not data:
                     return
                 buffer += data
@@ -290,8 +303,10 @@
             if str(error) not in self.complained and len(self.complained) < 100:
                 self.complained.add(str(error))
                 log.error("message dropped with its connection: %s", error)
-        except (OSError, curio.TaskTimeout):
+        except OSError:
             pass
+        finally:
+            del self.heard[task]
 
     async def send_to(self, label: str) -> None:
         """Keep one connection to a peer and write what is queued."""
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -66,6 +66,7 @@
         self.home.part_of = self.membership.part_of
         self.part = Part(self.me, shared.workers.lease_s, self.send, self.spec_of, self.home_of)
         self.part.upto = self.upto
+        self.ahead: placement.Ahead | None = None  # made once a round, if any machine with room reports
         self.leader = Leader(shared.teams, shared.zones, tuning, self.replica, shared.cloud.list_lag_s)
         self.channels = {peer.label: m.Channel(self.me) for peer in platform.peers}
         self.inbox: deque[tuple[int, m.Message]] = deque()
@@ -74,7 +75,7 @@
         self.loaded = False
         self.incarnation = 0  # the permit under which home and part were last built
         self.types: dict[str, wire.MachineType] = {}
-        self.offers: dict[str, tuple[float, list[m.QueueRow]]] = {}  # label -> receipt, rows
+        self.offers: dict[str, tuple[float, list[tuple[m.QueueRow, wire.JobSpec]]]] = {}  # label -> receipt, rows
         self.taken: dict[tuple[str, str], int] = {}
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
@@ -163,7 +164,8 @@
     def dispatch(self, label: str, body: m.Message) -> None:
         match body:
             case m.Queue():
-                self.offers[label] = (self.now, body.rows)
+                specs = ((row, self.spec_of(row.job)) for row in body.rows if row.offer > 0)
+                self.offers[label] = (self.now, [(row, spec) for row, spec in specs if spec is not None])
                 for row in body.rows:
                     self.taken.pop((label, row.job), None)
                 self.leader.on_queue(label, body, self.now)
@@ -429,19 +431,28 @@
         if candidate is None:
             return
         queue = []
-        others = self.part.spare(machine, now) if machine.idle else None
+        if self.ahead is None:
+            self.ahead = self.part.ahead(now)
+        idle, report, free = machine.idle, self.shared.workers.report_s, candidate.free[0] + 1e-9
         for label, (since, rows) in self.offers.items():
-            for row in rows:
+            for row, spec in rows:
+                if spec.cpus > free:
+                    continue
                 left = row.offer - self.taken.get((label, row.job), 0)
-                spec = self.spec_of(row.job)
-                if left <= 0 or spec is None or not placement.fits(spec, candidate.free):
+                if left <= 0 or not placement.fits(spec, candidate.free):
                     continue
-                if others is not None and row.waited_s + now - since < c.GATHER_S:
-                    left -= sum(placement.fits(spec, other.free) for other in others
-                                if placement.allowed(spec, other.type, other.zone, other.spot))
+                due = row.due_in_s - (now - since)
+                fetch = self.part.fetch_s(machine, spec)
+                others = 0
+                if row.late or due > c.GATHER_S + report:
+                    # It can wait for a report, so it fills machines in order; what is
+                    # promised a start within seconds goes where there is room.
+                    others = self.ahead.room(spec, candidate, idle)
+                if fetch > report:  # another machine reports before the image would be here
+                    others = max(others, self.ahead.room_cached(spec))
+                left -= others
                 if left > 0:
-                    due = row.due_in_s - (now - since)
-                    order = placement.order(row, spec, due + self.part.fetch_s(machine, spec))
+                    order = placement.order(row, spec, due + fetch)
                     queue.append((order, label, msgspec.structs.replace(row, offer=left), spec))
         queue.sort(key=lambda entry: entry[:2])
         for want in placement.plan([candidate], [entry[1:] for entry in queue]):
@@ -467,6 +478,7 @@
             self.home.settled = True
         if self.may_act():
             self.part.check_leases(now)
+        self.ahead = None
         rows = self.home.rows(now, self.due_in, self.run_time, self.guaranteed())
         queue = m.Queue(rows, self.home.used(), self.home.held(), self.home.want(), self.home.allots)
         for label in self.labels:
