--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -448,9 +448,8 @@
                     # It can wait for a report, so it fills machines in order; what is
                     # promised a start within seconds goes where there is room.
                     others = self.ahead.room(spec, candidate, idle)
-                if fetch > report or (spec.spot and not machine.spot):
-                    # Another machine reports before the image would be here, or costs less.
-                    others = max(others, self.ahead.room_cached(spec, spot_only=fetch <= report))
+                if fetch > report:  # another machine reports before the image would be here
+                    others = max(others, self.ahead.room_cached(spec))
                 left -= others
                 if left > 0:
                     order = placement.order(row, spec, due + fetch)
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -81,7 +81,6 @@
         entries = sorted(((filling(machine, idle), machine) for machine, idle in machines), key=lambda entry: entry[0])
         self.keys = [key for key, _ in entries]
         self.machines = [machine for _, machine in entries]
-        self.spots = sum(machine.spot for machine in self.machines)  # they come first
         self.places = {machine.name: place for place, machine in enumerate(self.machines)}
         self.sums: dict[tuple, list[int]] = {}
 
@@ -95,9 +94,9 @@
         own = self.places.get(machine.name, before)
         return self._sums(spec, cached)[before] - (self._fits(spec, self.machines[own], cached) if own < before else 0)
 
-    def room_cached(self, spec: JobSpec, spot_only: bool) -> int:
-        """How many tasks of ``spec`` fit (spot) machines that have the image."""
-        return self._sums(spec, True)[self.spots if spot_only else -1]
+    def room_cached(self, spec: JobSpec) -> int:
+        """How many tasks of ``spec`` fit machines that have the image."""
+        return self._sums(spec, True)[-1]
 
     def _sums(self, spec: JobSpec, cached: bool) -> list[int]:
         """Up to each machine, how many tasks of ``spec`` fit those before it; alike jobs share the answer."""
