Jobs that wait for others; the tighter of the state service's limits

waits_on is kept as facts of the store: a pure graph tells who is ready, who is doomed, who is in a hurry for whom.

--- a/alderbridge/__init__.py
+++ b/alderbridge/__init__.py
@@ -1,3 +1,3 @@
 """alderbridge: a cluster scheduler that rents the machines it needs."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/alderbridge/cli.py
+++ b/alderbridge/cli.py
@@ -36,6 +36,10 @@
         return 2
     if args.check:
         print(f"{args.config}: good")
+        kept = platform.settings.state.kept
+        if platform.settings.state.next is not None:
+            print(f"state service, kept from the start: rps {kept.rps:g}, write_rps {kept.write_rps:g}, "
+                  f"value_kb {kept.value_kb:g}, txn_ops {kept.txn_ops}")
         return 0
     return _serve(platform, tuning, level)
 
--- a/alderbridge/config.py
+++ b/alderbridge/config.py
@@ -49,11 +49,30 @@
     cancel_s: float
 
 
+class NextState(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on; what is missing stays as it is."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct, frozen=True):
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextState | None = None
+
+    @property
+    def kept(self) -> State:
+        """The tighter of both limits, each: nobody says when the change comes."""
+        later = self.next or NextState()
+        rps, writes, size, ops = (have if new is None else min(have, new) for have, new in (
+            (self.rps, later.rps), (self.write_rps, later.write_rps),
+            (self.value_kb, later.value_kb), (self.txn_ops, later.txn_ops)))
+        return State(rps, writes, size, ops)
 
 
 class Cloud(msgspec.Struct, frozen=True):
@@ -145,6 +164,9 @@
                 "state.write_rps": shared.state.write_rps, "state.txn_ops": shared.state.txn_ops,
                 "state.value_kb": shared.state.value_kb, "cloud.rps": shared.cloud.rps,
                 "limits.max_sockets": shared.limits.max_sockets}
+    if shared.state.next is not None:
+        coming = msgspec.structs.asdict(shared.state.next)
+        positive |= {f"state.next.{key}": number for key, number in coming.items() if number is not None}
     for key, number in positive.items():
         if number <= 0:
             raise ConfigError(f"{path}: settings.{key}: expected a number above 0, got {number}")
--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -12,6 +12,7 @@
 HOLD_MARGIN_S = 0.5  # s; a member stops this long before its hold could end
 HOLD_RENEWALS = 6  # renewals per ttl; several may fail before the hold lapses
 CANCEL_SLACK_S = 4.0  # s; kept between ttl + worker lease and cancel_s
+PIPELINES = 2  # generation of the program from which on dependencies between jobs are kept
 PREDECESSOR_S = 1.0  # s; lower labels get this head start in taking the lead
 
 # --- rounds ----------------------------------------------------------------
@@ -50,12 +51,15 @@
 BUDGET_SHARE = 0.9  # share of a stated rate that all controllers together use
 
 # --- jobs ------------------------------------------------------------------
+LEAST_VALUE = 512  # bytes; records are never cut below this: the shortest description needs most of it
 MAX_PARTS = 100_000  # tasks; PROTOCOL's limit for one job
 ERROR_PAUSE_S = 2.0  # s; first pause of a task whose last run failed; doubles
 ERROR_PAUSE_MAX_S = 30.0  # s; longest such pause
 FAULTY_ERRORS = 3  # errors in a row, of two jobs or more, that set a machine aside
 FAULTY_S = 120.0  # s; a machine set aside is tried again after this
 
+STEP_S = 5.0  # s; from a job's end to the start of those that need it: a record, a report, an image
+
 # --- policy (the paper's names; "ours" where the design says so) -----------
 TARGET_RATIO = 0.5  # Maximum Queue Time / requested time; the paper's choice in 5.2
 WORKLOAD_MULTIPLIER = 1.0  # Expected Run Time / requested time; the paper's 5.3
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -18,7 +18,7 @@
 from .leader import Decision
 from .net import Answer, Budget, Server, Unanswered
 from .node import Batch, Node
-from .store import JOBS, MEMBERS, ROOT, TYPES, VIEW, HoldLost, Refused, Store, TooOld
+from .store import JOBS, MEMBERS, ROOT, TYPES, VIEW, HoldLost, Refused, Store, TooLarge, TooOld
 from .view import Presence, Standing
 
 log = logging.getLogger("controller")
@@ -26,7 +26,7 @@
 _record = msgspec.json.Decoder(Record)
 
 LATER = [("Retry-After", str(c.RETRY_AFTER_S))]
-_TROUBLE = (Refused, Unanswered, msgspec.DecodeError)
+_TROUBLE = (Refused, Unanswered, TooLarge, msgspec.DecodeError)
 
 
 def later(text: str) -> Answer:
@@ -139,7 +139,7 @@
         permit = await self.store.hold(self.membership.hold.ttl_s)
         # The key passes from one hold to the other in one step: were it gone for a moment, the
         # others would change the view twice, and workers are slow to see a second new mandate.
-        done = await self.store.commit({key: row.stamp if row is not None else 0}, {key: Presence(permit)},
+        done = await self.store.commit({key: row.stamp if row is not None else 0}, {key: Presence(permit, c.PIPELINES)},
                                        permit=permit)
         if done.failed:
             await self.store.end(permit)
@@ -208,7 +208,12 @@
                     self.node.batch_done(batch, done.epoch, now())
                     self.store_bad_until = 0.0
                 await self.after()
-            except _TROUBLE as error:
+            except TooLarge as error:
+                self.node.batch_too_large(batch, now())
+                await self.after()
+                log.error("records state=too large changes=%d cause=%s", batch.changes, error)
+                await curio.sleep(c.ROUND_S)
+            except (*_TROUBLE, HoldLost) as error:
                 self.node.batch_failed(batch, now())
                 if isinstance(error, Refused):
                     self.node.refuse_submissions()
@@ -255,7 +260,10 @@
         flavours = self.node.types_to_store()
         if flavours is not None:
             conditions = {VIEW: self.membership.mandate, TYPES: self.node.replica.types_stamp}
-            await self.store.commit(conditions, {TYPES: flavours})
+            try:
+                await self.store.commit(conditions, {TYPES: flavours})
+            except TooLarge:
+                self.node.value_too_large(len(wire.encode(flavours)))
 
     async def keep_machines(self) -> None:
         """The leader's round: list, decide, rent, give back."""
@@ -389,17 +397,44 @@
             return (422, wire.error(why), []) if status[0] == 404 else status
         if not self.membership.may_act(now()) or now() < self.store_bad_until:
             return later("the state service is out of reach")
+        answer = await self.check_needs(spec) if spec.needs else None
+        if answer is not None:
+            return answer
         submission = node.submit(spec, now(), time.time())
         if submission is None:
-            return 400, wire.error("the job's description is too long"), []
+            return _too_long()
         if not submission.outcome and not await self.wait_for(submission, c.SUBMIT_WAIT_S):
             return later("the state service is slow")
         if submission.outcome == "refused":
             return later("the state service is out of reach")
+        if submission.outcome == "too long":
+            return _too_long()
         if submission.outcome == "accepted":
-            return 201, wire.accepted(spec.id, "pending"), []
+            ended = node.replica.ended.get(spec.id)
+            return 201, wire.accepted(spec.id, "pending" if ended is None else ended.value), []
         return await self.known(spec.id)
 
+    async def check_needs(self, spec: wire.JobSpec) -> Answer | None:
+        """The answer to a submission that waits for others, where it can't be taken."""
+        node = self.node
+        if not self.membership.all_run(c.PIPELINES):
+            return later("a controller still runs a version that knows of no dependencies")
+        for need in spec.needs or ():
+            if need == spec.id:
+                return 422, wire.error(f"waits_on: {need} is this job"), []
+            if node.known(need):
+                continue
+            # Another node may have accepted it a moment ago: only the store can tell.
+            try:
+                row = await self.store.get(JOBS + need)
+            except _TROUBLE:
+                self.store_trouble()
+                return later("the state service is out of reach")
+            if row is None:
+                return 422, wire.error(f"waits_on: {need} was never accepted"), []
+            node.saw_job(need, _record.decode(row.data), row.stamp)
+        return None
+
     def never_runs(self, spec: wire.JobSpec) -> str:
         team = next((team for team in self.platform.settings.teams if team.name == spec.team), None)
         if team is None:
@@ -441,6 +476,8 @@
         record = _record.decode(row.data)
         if record.state is not JobState.ACTIVE:
             return 200, wire.job_status(job, record.state.value, 0, 0), []
+        if record.spec is not None and (record.spec.needs or record.more) and not self.node.surely_pending(job, now()):
+            return later("not known here yet")  # a job before it may be aborted, and others may have told so
         return 200, wire.job_status(job, "pending", sum(b - a for a, b in record.done), 0), []
 
     async def withdraw(self, job: str) -> Answer:
@@ -493,5 +530,9 @@
         await self.after()
 
 
+def _too_long() -> Answer:
+    return 400, wire.error("the job's description is too long"), []
+
+
 def _wrong_method(allowed: str) -> Answer:
     return 405, wire.error("wrong method"), [("Allow", allowed)]
--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -60,6 +60,9 @@
     mark: int = 0  # tasks below this may have been started
     done: list[tuple[int, int]] = []
     spec: JobSpec | None = None
+    more: str = ""  # lists of what it waits for beside this record, see ``replica.list_keys``
+    ready_at: float = 0.0  # time of day when the last job it needed was done; then its needs are left out
+    done_at: float = 0.0  # time of day of its last task's end
 
 
 class Ranges:
@@ -116,7 +119,11 @@
         self.spec = record.spec
         self.home_label = record.home
         self.at = record.at
-        self.arrived = now - age_s
+        self.submitted = now - age_s
+        self.arrived = self.submitted  # from here its times count: what it needs was done, or it was submitted
+        self.waits = bool(record.spec.needs or record.more)  # until ``release``: what it needs is not all done
+        self.more = record.more
+        self.ready_at = record.ready_at
         self.state = record.state
         self.stored_state = record.state
         self.stamp = stamp
@@ -131,6 +138,8 @@
         self.errors = 0
         self.paused_until = 0.0
         self.changed_at: float | None = None  # since when the record lags behind
+        self.ended_at = now
+        self.urgent_end = False  # a user waits to hear of its end
         self.to_clear: dict[tuple[str, int, int], None] = {}  # told once the record is written
         self.full = True  # the stored record still holds the spec
         self.last_write = now
@@ -214,6 +223,7 @@
         self.touch(now)
         if self.done.count >= self.spec.tasks:
             self.state = JobState.DONE
+            self.ended_at = now
             log.info("job=%s state=done cause=last task", self.spec.id)
 
     def _leave(self, index: int) -> None:
@@ -237,12 +247,24 @@
         self.errors += 1
         self.paused_until = max(self.paused_until, now + pause) if self.errors > c.FAULTY_ERRORS else 0.0
 
-    def abort(self, now: float) -> None:
+    def abort(self, now: float, cause: str = "withdrawn") -> None:
         if self.state is JobState.ACTIVE:
             self.state = JobState.ABORTED
             self.again.clear()
             self.touch(now)
-            log.info("job=%s state=aborted cause=withdrawn", self.spec.id)
+            log.info("job=%s state=aborted cause=%s", self.spec.id, cause)
+
+    def wait(self) -> None:
+        """A job that it needs is not done: nothing of it was ever started, and nothing may be."""
+        self.waits = True
+
+    def release(self, since: float, ready_at: float) -> None:
+        """All that it needs is done in the store, ``since`` then its times count."""
+        if self.waits:
+            log.info("job=%s state=ready cause=all it needs is done, %.1f s after its submission", self.spec.id,
+                     since - self.submitted)
+        self.waits = False
+        self.arrived, self.ready_at = max(self.submitted, since), ready_at
 
     def end(self, state: JobState) -> None:
         """The store holds this end already."""
@@ -271,11 +293,15 @@
 
     def record(self, value_bytes: int, may_end: bool = True) -> Record:
         state = self.state if may_end else self.stored_state
+        done_at = round(self.at + self.ended_at - self.submitted, 3) if state is JobState.DONE else 0.0
         if state is self.state and self.state is not JobState.ACTIVE and not self.runs and not self.unknown:
-            return Record(self.state)
-        bare = Record(state, self.home_label, self.at, self.mark_wanted, [], self.spec)
+            return Record(self.state, done_at=done_at)
+        spec, more = self.spec, self.more
+        if not self.waits and (spec.needs or more):
+            spec, more = msgspec.structs.replace(spec, needs=None), ""  # all done, for ever
+        bare = Record(state, self.home_label, self.at, self.mark_wanted, [], spec, more, self.ready_at, done_at)
         room = value_bytes - len(msgspec.json.encode(bare)) - 16
-        return Record(state, self.home_label, self.at, self.mark_wanted, self.done.fitted(room), self.spec)
+        return msgspec.structs.replace(bare, done=self.done.fitted(room))
 
 
 class Usage:
@@ -368,7 +394,7 @@
         """Per team with a limit, what all its tasks here would take."""
         result: dict[str, tuple[float, float]] = {}
         for job in self.jobs.values():
-            count = job.on_machines + job.waiting
+            count = 0 if job.waits else job.on_machines + job.waiting
             if count and self.usage.limited(job.spec.team):
                 cpus, gpus = result.get(job.spec.team, (0.0, 0.0))
                 result[job.spec.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
@@ -380,13 +406,14 @@
 
     # -- queue and grants --------------------------------------------------
 
-    def rows(self, now: float, due_in: Callable[[JobSpec, float, bool], tuple[float, bool]],
-             run_time: Callable[[JobSpec], float], guaranteed_jobs: Container[str] = ()) -> list[QueueRow]:
+    def rows(self, now: float, due_in: Callable[[Job, float, bool], tuple[float, bool]],
+             run_time: Callable[[JobSpec], float], rank: Callable[[JobSpec], int],
+             guaranteed_jobs: Container[str] = ()) -> list[QueueRow]:
         used = self.used()
         rows = []
         for job in self.jobs.values():
             spec = job.spec
-            if not job.waiting or now < job.paused_until:
+            if not job.waiting or job.waits or now < job.paused_until:
                 continue
             fits, zone = job.allowed_zone()
             offer = min(job.waiting, self.usage.room(spec.team, used.get(spec.team, (0.0, 0.0)), spec))
@@ -395,9 +422,9 @@
                 self.want_mark(job, offer, now)
                 offer = ready
             guaranteed = spec.id in guaranteed_jobs
-            due, late = due_in(spec, now - job.arrived, guaranteed)
+            due, late = due_in(job, now, guaranteed)
             rows.append(QueueRow(spec.id, job.waiting, offer if fits else 0, due, run_time(spec), zone,
-                                 now - job.arrived, late, guaranteed))
+                                 now - job.arrived, late, guaranteed, rank(spec)))
         rows.sort(key=lambda row: row.due_in_s)
         return rows[:c.QUEUE_ROWS]
 
@@ -410,7 +437,7 @@
     def on_take(self, label: str, take: Take, now: float, entitled: bool) -> None:
         job = self.jobs.get(take.job)
         tasks: list[tuple[int, int]] = []
-        if job is not None and entitled:
+        if job is not None and entitled and not job.waits:
             count = min(take.count, job.room_in(take.zone), self._team_room(job))
             runs = []
             while len(tasks) < count:
@@ -513,7 +540,8 @@
                 yield (3.0, job)  # nothing of it is left: its record shrinks
             elif job.changed_at is not None:
                 if job.state is not job.stored_state and self.may_end(job):
-                    yield (0.0, job)
+                    # Nobody waits for the end of a job that one before it took along: it goes behind submissions.
+                    yield (2.0 if job.waits and not job.urgent_end else 0.0, job)
                 elif job.mark_wanted > job.mark:
                     yield (1.0, job)
                 elif now - job.last_write >= c.PROGRESS_S:
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -44,6 +44,7 @@
     waited_s: float
     late: bool  # has missed every Maximum Queue Time
     guaranteed: bool  # lies within its team's guarantee
+    rank: int = -1  # priority of the jobs that need it, where higher than its own
 
 
 class Queue(Message):
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import logging
 from collections import deque
 from dataclasses import dataclass, field
@@ -19,24 +20,39 @@
 from . import mesh as m
 from . import placement, policy, wire
 from .config import Platform, Tuning
+from .dependencies import Graph
 from .jobs import Home, Job, JobState, Record
 from .leader import Leader
 from .machines import Machine, Part
 from .net import Budget
-from .replica import Replica
-from .store import JOBS, MACHINES, MEMBERS, VIEW
+from .replica import Replica, list_keys
+from .store import JOBS, LISTS, MACHINES, MEMBERS, VIEW
 from .view import Membership, Standing, View
 
 log = logging.getLogger("node")
 _record = msgspec.json.Decoder(Record)
 
 
+def beside(record: Record, room: int) -> tuple[Record, dict[str, list[str]]]:
+    """The record without what its job waits for, and that as lists that fit one value each."""
+    assert record.spec is not None and record.spec.needs is not None
+    needs = sorted(record.spec.needs)
+    each = max(1, (room - 2) // (max(map(len, needs)) + 3))
+    count = -(-len(needs) // each)
+    more = f"{hashlib.blake2b(' '.join(needs).encode(), digest_size=8).hexdigest()}/{count}"
+    parts = [needs[at:at + each] for at in range(0, len(needs), each)]
+    spec = msgspec.structs.replace(record.spec, needs=None)
+    return (msgspec.structs.replace(record, spec=spec, more=more),
+            dict(zip(list_keys(spec.id, more), parts, strict=True)))
+
+
 @dataclass(eq=False)
 class Submission:
     """A job on its way into the store."""
 
     job: Job
-    outcome: str = ""  # "accepted", "known" or "refused"; empty: not decided
+    outcome: str = ""  # "accepted", "known", "refused" or "too long"; empty: not decided
+    lists: dict[str, list[str]] = field(default_factory=dict)  # what has no room in its record, to be stored before it
 
 
 @dataclass
@@ -51,6 +67,11 @@
     fresh: list[tuple[Submission, Record]] = field(default_factory=list)
     machines: list[str] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
+    lists: list[tuple[Submission, str]] = field(default_factory=list)
+
+    @property
+    def changes(self) -> int:
+        return len(self.puts) + len(self.drops)
 
 
 class Node:
@@ -61,8 +82,11 @@
         self.labels = [self.me, *(peer.label for peer in platform.peers)]
         ttl = min(c.HOLD_TTL_S, shared.workers.cancel_s - shared.workers.lease_s - c.CANCEL_SLACK_S)
         self.membership = Membership(self.me, ttl)
-        self.replica = Replica(self.membership)
-        self.home = Home(shared.teams, self.send, int(shared.state.value_kb * 1024))
+        stretches = [objective.times or 1.0 for objective in shared.objectives if objective.kind == "deadline"]
+        self.graph = Graph(self.run_time, stretches)
+        self.replica = Replica(self.membership, self.graph)
+        self.limits = shared.state.kept
+        self.home = Home(shared.teams, self.send, int(self.limits.value_kb * 1024))
         self.home.part_of = self.membership.part_of
         self.part = Part(self.me, shared.workers.lease_s, self.send, self.spec_of, self.home_of)
         self.part.upto = self.upto
@@ -79,9 +103,13 @@
         self.taken: dict[tuple[str, str], int] = {}
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
-        self.queue_times: dict[tuple[str, bool], list[tuple[float, float]]] = {}
+        self.dropping_lists: list[str] = []  # keys of lists whose jobs are over
+        self.queue_times: dict[tuple[str, bool], tuple[tuple, list[tuple[float, float]]]] = {}
+        self.doomed_at: dict[str, float] = {}  # since when this node knows that a job before it is aborted
+        self.wall = 0.0  # time of day less ``now``
+        self.most_changes = self.limits.txn_ops  # in one transaction; less once the store has refused that many
         share = c.BUDGET_SHARE / len(self.labels)
-        self.write_budget = Budget(shared.state.write_rps * share, shared.state.write_rps * share, now)
+        self.write_budget = Budget(self.limits.write_rps * share, self.limits.write_rps * share, now)
         self.room_at = 0.0
         self.entered_at = now  # when the view arrived here
         # left for the controller
@@ -108,15 +136,23 @@
     def upto(self, label: str) -> int:
         return self.local_done if label == self.me else self.channels[label].received
 
-    def due_in(self, spec: wire.JobSpec, age_s: float, guaranteed: bool) -> tuple[float, bool]:
-        key = (spec.id, guaranteed)
-        times = self.queue_times.get(key)
-        if times is None:
+    def due_in(self, job: Job, now: float, guaranteed: bool) -> tuple[float, bool]:
+        key, needed = (job.spec.id, guaranteed), self.graph.needed_by(job.spec.id)
+        basis = (job.arrived, needed)  # both may change while it waits for room
+        known = self.queue_times.get(key)
+        if known is None or known[0] != basis:
             if len(self.queue_times) > c.QUEUE_ROWS * 4:
                 self.queue_times.clear()
-            times = policy.queue_times(spec, self.tuning, self.shared.objectives, guaranteed)
-            self.queue_times[key] = times
-        return policy.due_in(age_s, times)
+            known = basis, policy.queue_times(job.spec, self.tuning, self.shared.objectives, guaranteed,
+                                              job.arrived - job.submitted,
+                                              [by - self.wall - job.arrived for by in needed])
+            self.queue_times[key] = known
+        return policy.due_in(now - job.arrived, known[1])
+
+    def rank(self, spec: wire.JobSpec) -> int:
+        """The priority of the jobs that need it, where higher than its own; else -1."""
+        needed = self.graph.needed_rank(spec.id)
+        return needed if needed > spec.rank else -1
 
     def run_time(self, spec: wire.JobSpec) -> float:
         return policy.expected_run_time(spec, self.tuning)
@@ -198,27 +234,29 @@
 
     def apply(self, changes: list[wire.Change], now: float, wall: float) -> None:
         """Changes of the store, in order."""
-        self.now = now
+        self.now, self.wall = now, wall - now
         for change in changes:
             if self.replica.apply(change):
                 self.enter_view(now, wall)
+        self.follow_graph()
 
     def load(self, rows: list[wire.Row], changes: list[wire.Change], epoch: int, now: float, wall: float) -> None:
         """All rows, whose pages may be of different epochs, and what followed the first of them.
 
         Nothing is built on the rows before the changes have caught up with them.
         """
-        self.now = now
+        self.now, self.wall = now, wall - now
         newer = False
         self.incarnation = 0  # views may have passed unseen: nothing known under them holds any more
         self.replica.machines = {}
-        for row in rows:
+        for row in sorted(rows, key=lambda row: not row.key.startswith(LISTS)):  # before the records that name them
             newer = self.replica.apply(wire.Change(put=row.key, data=row.data, stamp=row.stamp)) or newer
         for change in changes:
             newer = self.replica.apply(change) or newer
         self.replica.epoch = epoch
         if newer:
             self.enter_view(now, wall)
+        self.follow_graph()
         if not self.types:
             self.learn_types(self.replica.types)
         self.loaded = True
@@ -245,8 +283,12 @@
                 if self.membership.home_of(record.home) == self.me:
                     job = old.get(name)
                     if job is None:
-                        job = Job(record, stamp, now, max(0.0, wall - record.at))
+                        # Every write asserts the view: what is not done here yet was not when the view changed,
+                        # so nothing of a job that waits for it was ever started.
+                        waits = self.graph.waiting(name)
+                        job = Job(record, stamp, now, max(0.0, wall - record.at), fresh=waits)
                         job.inherited = True
+                        self.place_in_graph(job)
                     job.stamp = max(job.stamp, stamp)
                     jobs[name] = job
         self.home.enter(mandate, jobs, self.replica.machines if inside else ())
@@ -256,6 +298,33 @@
         self.dropping = [name for name in self.dropping if name in self.part.returned]
         self.pump()
 
+    # -- dependencies ----------------------------------------------------------
+
+    def place_in_graph(self, job: Job) -> None:
+        """Whether the job waits, from when its times count, or whether it is doomed."""
+        name = job.spec.id
+        if self.graph.waiting(name):
+            job.wait()
+            if name in self.graph.doomed:
+                job.abort(self.now, "a job before it is aborted")
+            return
+        ready_at = max(job.ready_at, self.graph.ready_at(name))
+        job.release(min(self.now, ready_at - self.wall) if ready_at else job.submitted, ready_at)
+
+    def follow_graph(self) -> None:
+        """Facts of the store have arrived: who is ready now, who is doomed."""
+        graph = self.graph
+        ready, graph.fresh_ready = graph.fresh_ready, []
+        doomed, graph.fresh_doomed = graph.fresh_doomed, []
+        for name in doomed:
+            self.doomed_at[name] = self.now
+        for name in ready + doomed:
+            job = self.home.jobs.get(name)
+            if job is not None:
+                self.place_in_graph(job)
+        if len(self.doomed_at) > 2 * len(graph.doomed):
+            self.doomed_at = {name: at for name, at in self.doomed_at.items() if name in graph.doomed}
+
     def next_view(self, now: float) -> tuple[View, dict[str, int]] | None:
         """The change of view to try, with the stamps to assert."""
         change = self.membership.next_view(now) if self.loaded else None
@@ -271,7 +340,7 @@
         self.now = now
         if not self.may_act():
             return None
-        room = min(self.shared.state.txn_ops, int(self.write_budget.available(now)))
+        room = min(self.most_changes, int(self.write_budget.available(now)))
         if room < 1:
             return None
         batch = Batch(self.membership.mandate, {VIEW: self.membership.mandate})
@@ -290,6 +359,18 @@
             if len(batch.puts) >= room:
                 break
             job = entry.job if isinstance(entry, Submission) else entry
+            if isinstance(entry, Submission):
+                self._drop_known_lists(entry)
+                for key, names in entry.lists.items():
+                    if len(batch.puts) >= room or size > c.MAX_BODY // 2:
+                        break
+                    batch.lists.append((entry, key))
+                    batch.puts[key] = names
+                    size += self.home.value_bytes
+                if entry.lists:
+                    continue  # its record follows when they are stored
+                if any(self.is_doomed(need) for need in self.needs_of(job)):
+                    job.abort(now, "it needs an aborted job")
             record = job.record(self.home.value_bytes, self.home.may_end(job))
             size += len(msgspec.json.encode(record)) + 100
             if size > c.MAX_BODY * 3 // 4 and batch.puts:
@@ -305,9 +386,13 @@
         batch.drops = [MACHINES + name for name in batch.gone]
         # Carried out late, a drop must not hit a record that has been written again since.
         batch.conditions |= {MACHINES + name: self.replica.machines.get(name, 0) for name in batch.gone}
-        if not batch.puts and not batch.drops:
+        if len(batch.puts) + len(batch.drops) < room:
+            count = room - batch.changes
+            batch.drops += self.dropping_lists[:count]  # unanswered, a list stays behind: it is never read again
+            del self.dropping_lists[:count]
+        if not batch.changes:
             return None
-        self.write_budget.spend(now, len(batch.puts) + len(batch.drops))
+        self.write_budget.spend(now, batch.changes)
         return batch
 
     def batch_failed(self, batch: Batch, now: float) -> None:
@@ -315,11 +400,27 @@
         for job, _, _ in batch.jobs:
             job.touch(now)
 
+    def batch_too_large(self, batch: Batch, now: float) -> None:
+        """The store takes less than the settings said: the same again would never be carried out."""
+        self.batch_failed(batch, now)
+        if batch.changes > 1:
+            self.most_changes = max(1, batch.changes // 2)
+            return
+        self.value_too_large(max((len(msgspec.json.encode(value)) for value in batch.puts.values()), default=0))
+        for submission in [one for one, _ in batch.fresh] + [one for one, _ in batch.lists]:
+            if self.submissions.get(submission.job.spec.id) is submission:
+                self._settle(submission, "too long")
+
     def refuse_submissions(self) -> None:
         """The store carries nothing out: who waits is told at once, and asks again later."""
         for submission in list(self.submissions.values()):
             self._settle(submission, "refused")
 
+    def value_too_large(self, size: int) -> None:
+        self.home.value_bytes = min(self.home.value_bytes, max(c.LEAST_VALUE, size * 3 // 4))
+        log.error("store state=takes less cause=400 values=%d bytes changes=%d", self.home.value_bytes,
+                  self.most_changes)
+
     def batch_done(self, batch: Batch, stamp: int, now: float) -> None:
         self.now = now
         current = batch.mandate == self.membership.mandate
@@ -331,19 +432,26 @@
             if self.home.jobs.get(job.spec.id) is job:
                 self.home.written(job, record, stamp, cleared, now)
             self._stored(job, record, stamp)
+        for submission, key in batch.lists:
+            self.replica.lists[key] = submission.lists.pop(key, [])
         for submission, record in batch.fresh:
             job = submission.job
             job.stamp = stamp
             self.replica.saw_job(job.spec.id, record, stamp)
-            if current:  # else the view that has arrived since gave it to its home
+            if current and record.state is JobState.ACTIVE:  # else the view that has arrived gave it to its home
                 self.home.jobs[job.spec.id] = job
+                self.place_in_graph(job)
             self._settle(submission, "accepted")
+        self.follow_graph()
         self.pump()
 
     def _stored(self, job: Job, record: Record, stamp: int) -> None:
         self.replica.saw_job(job.spec.id, record, stamp)
         if record.state is not JobState.ACTIVE:
             self.news.append(job.spec.id)
+        if job.more and not record.more:  # from here on nobody reads them
+            self.dropping_lists += list_keys(job.spec.id, job.more)
+            job.more = ""
         if job.drained and self.home.jobs.get(job.spec.id) is job:
             del self.home.jobs[job.spec.id]
 
@@ -381,9 +489,10 @@
             if job.spec.id == name and not submission.outcome:
                 self.replica.saw_job(name, record, row.stamp)
                 ours = record.home == self.me and record.at == job.at and record.state is JobState.ACTIVE
-                if ours and current and name not in self.home.jobs:
+                if ours and current and name not in self.home.jobs and job.state is JobState.ACTIVE:
                     job.stamp = row.stamp  # an earlier write of ours had no answer
                     self.home.jobs[name] = job
+                    self.place_in_graph(job)
                 self._settle(submission, "known")
         for job, _, _ in batch.jobs:
             if job.spec.id == name and self.home.jobs.get(name) is job:
@@ -394,19 +503,47 @@
                     self.home.written(job, record, row.stamp, [], now)
                     job.touch(now)
                 self._stored(job, record, row.stamp)
+        self.follow_graph()
         self.pump()
 
     def submit(self, spec: wire.JobSpec, now: float, wall: float) -> Submission | None:
-        """Queue a job for the store; None where its record would not fit."""
-        self.now = now
+        """Queue a job for the store; None where its record would not fit, whatever is put beside it."""
+        self.now, self.wall = now, wall - now
         if spec.id in self.submissions:
             return self.submissions[spec.id]
+        ended = self.replica.ended
+        needs = [need for need in dict.fromkeys(spec.needs or ()) if ended.get(need) is not JobState.DONE]
+        spec = msgspec.structs.replace(spec, needs=needs or None)
         record = Record(JobState.ACTIVE, self.me, wall, min(spec.tasks, c.MARK_AHEAD), [], spec)
-        if len(msgspec.json.encode(record)) > self.home.value_bytes - 64:
+        lists: dict[str, list[str]] = {}
+        room = self.home.value_bytes - 64
+        if needs and len(msgspec.json.encode(record)) > room:
+            record, lists = beside(record, room)
+        if len(msgspec.json.encode(record)) > room:
             return None
-        submission = self.submissions[spec.id] = Submission(Job(record, 0, now, 0.0, fresh=True))
+        submission = Submission(Job(record, 0, now, 0.0, fresh=True), lists=lists)
+        self.submissions[spec.id] = submission
         return submission
 
+    def saw_job(self, name: str, record: Record, stamp: int) -> None:
+        """A record that was read from the store ahead of the changes that bring it."""
+        self.replica.saw_job(name, record, stamp)
+        self.follow_graph()
+
+    def needs_of(self, job: Job) -> list[str]:
+        result = list(job.spec.needs or ())
+        for key in list_keys(job.spec.id, job.more):
+            result += self.replica.lists.get(key, ())
+        return result
+
+    def is_doomed(self, job: str) -> bool:
+        return self.replica.ended.get(job) is JobState.ABORTED or job in self.graph.doomed
+
+    def _drop_known_lists(self, submission: Submission) -> None:
+        """An earlier try, here or elsewhere, may have stored some: what is under a key never changes."""
+        for key in [key for key in submission.lists if key in self.replica.lists]:
+            del submission.lists[key]
+
     def _settle(self, submission: Submission, outcome: str) -> None:
         spec = submission.job.spec
         log.info("job=%s state=%s class=%s team=%s tasks=%d", spec.id, outcome, spec.job_class, spec.team, spec.tasks)
@@ -472,7 +609,7 @@
         if self.may_act():
             self.part.check_leases(now)
         self.busy = None
-        rows = self.home.rows(now, self.due_in, self.run_time, self.guaranteed())
+        rows = self.home.rows(now, self.due_in, self.run_time, self.rank, self.guaranteed())
         queue = m.Queue(rows, self.home.used(), self.home.held(), self.home.want(), self.home.allots)
         for label in self.labels:
             self.tell(label, queue if label in members else m.Pulse())
@@ -494,8 +631,8 @@
             return result
         for name, (record, _) in sorted(self.replica.active.items(), key=lambda entry: entry[1][0].at):
             spec = record.spec
-            if spec is None or spec.team not in room or record.state is not JobState.ACTIVE:
-                continue
+            if spec is None or spec.team not in room or record.state is not JobState.ACTIVE or self.graph.waiting(name):
+                continue  # what waits for others holds no part of the guarantee
             mine = self.home.jobs.get(name)
             done = mine.done.count if mine is not None else sum(high - low for low, high in record.done)
             cpus, gpus = room[spec.team]
@@ -543,6 +680,8 @@
         ended = self.replica.ended.get(job)
         if ended is not None:
             return ended.value, 0, 0
+        if job in self.graph.doomed:
+            return (JobState.ABORTED.value, 0, 0) if self.doom_is_common(job) else None
         mine = self.home.jobs.get(job)
         if mine is None or not self.may_act():
             return None
@@ -554,6 +693,21 @@
         running = mine.running
         return "running" if running else "pending", mine.done.count, running
 
+    def doom_is_common(self, job: str) -> bool:
+        """Whether every member that still acts knows, too, that a job before this one is aborted.
+
+        Members act only on a view and records that are fresh to within the ttl. Told any sooner,
+        the answer could be taken back by a home that has yet to hear of it.
+        """
+        at = self.doomed_at.get(job)
+        return at is not None and self.now - at > self.membership.hold.ttl_s + c.PROOF_MARGIN_S
+
+    def surely_pending(self, job: str, now: float) -> bool:
+        """Whether a record that is active in the store may be told so, a moment after it was read."""
+        self.now = now
+        spec = self.spec_of(job)
+        return spec is not None and job not in self.graph.doomed and self.may_act()
+
     def withdraw(self, job: str, now: float) -> str | None:
         """The job's stored state, "" while its end is being written, None where this is not its home."""
         self.now = now
@@ -564,5 +718,6 @@
             return None
         if mine.stored_state is JobState.ACTIVE:
             mine.abort(now)
+            mine.urgent_end = True
             return ""
         return mine.stored_state.value
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -90,9 +90,10 @@
     """Whose turn it is: what can still be in time, higher priority, soonest deadline.
 
     Work within its team's guarantee need not wait for other teams: it ranks with
-    the highest. Where there is room for all, this is the paper's order.
+    the highest. A job that others need has the priority of the highest of them.
+    Where there is room for all, this is the paper's order.
     """
-    rank = len(PRIORITIES) if row.guaranteed else spec.rank
+    rank = len(PRIORITIES) if row.guaranteed else max(row.rank, spec.rank)
     return row.late, -rank, due_in_s
 
 
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -70,28 +70,34 @@
     return max(tuning.queue_time_floor_s, requested * tuning.target_ratio)
 
 
-def queue_times(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective], guaranteed: bool
-                ) -> list[tuple[float, float]]:
+def queue_times(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective], guaranteed: bool,
+                waited_s: float = 0.0, needed_s: Iterable[float] = ()) -> list[tuple[float, float]]:
     """The Maximum Queue Times that the operators' objectives set, shortest first.
 
     Where they promise a start in seconds, the paper's floor of minutes cannot
     serve: an objective on waiting is a Maximum Queue Time itself, one on
     finishing or a deadline leaves what remains beside the Expected Run Time.
     With each goes the time after which it is out of reach even with luck.
+
+    A job's times count from when all that it needs was done, ``waited_s`` after its
+    submission, from which its deadline counts. ``needed_s``: by when it has to end for
+    the deadlines of the jobs that need it.
     """
     run = expected_run_time(spec, tuning)
     times = []
     for objective in objectives:
         ours = objective.job_class == spec.job_class
         start = objective.kind == "wait" and ours or objective.kind == "guarantee" and guaranteed
-        within = objective.within_s if objective.kind != "deadline" else spec.due_s
+        deadline = objective.kind == "deadline"
+        within = (spec.due_s or 0.0) * (objective.times or 1.0) if deadline else objective.within_s
         if not within:
             continue
         if start:
             times.append((within * c.WAIT_SHARE, within))
         elif objective.kind in ("finished", "deadline") and ours:
-            least = within * c.LEAST_SHARE
-            times.append((max(least, within - run * c.RUN_SAFETY), max(least, within - run * c.RUN_LUCK)))
+            least, gone = within * c.LEAST_SHARE, waited_s if deadline else 0.0
+            times.append((max(least, within - run * c.RUN_SAFETY) - gone, max(least, within - run * c.RUN_LUCK) - gone))
+    times += [(by - run * c.RUN_SAFETY, by - run * c.RUN_LUCK) for by in needed_s]
     floor = max_queue_time(spec, tuning)
     return sorted(times) or [(floor, floor)]
 
@@ -105,7 +111,7 @@
     for limit, hopeless in times:
         if age_s <= hopeless:
             return limit - age_s, False
-    return times[-1][0], True
+    return max(0.0, times[-1][0]), True
 
 
 def _may_use(demand: Demand, kind: Kind) -> bool:
--- a/alderbridge/replica.py
+++ b/alderbridge/replica.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
+from .dependencies import Graph
 from .jobs import JobState, Record
-from .store import JOBS, MACHINES, MEMBERS, TYPES, VIEW
+from .store import JOBS, LISTS, MACHINES, MEMBERS, TYPES, VIEW
 from .view import Membership, Presence, View
 from .wire import Change, Flavours, JobSpec, MachineType
 
@@ -17,13 +18,23 @@
 _view = msgspec.json.Decoder(View)
 _presence = msgspec.json.Decoder(Presence)
 _flavours = msgspec.json.Decoder(Flavours)
+_list = msgspec.json.Decoder(list[str])
+
+
+def list_keys(job: str, more: str) -> list[str]:
+    """Keys of a job's lists; ``more`` is DIGEST/COUNT, so that what is under a key never changes."""
+    digest, _, count = more.partition("/")
+    return [f"{LISTS}{job}/{digest}/{number}" for number in range(int(count or 0))]
 
 
 class Replica:
-    def __init__(self, membership: Membership) -> None:
+    def __init__(self, membership: Membership, graph: Graph) -> None:
         self.membership = membership
+        self.graph = graph
         self.active: dict[str, tuple[Record, int]] = {}  # jobs that still have a spec, and their stamps
         self.ended: dict[str, JobState] = {}  # told for ever; one small entry a job
+        self.done_at: dict[str, float] = {}  # time of day, where the record says it
+        self.lists: dict[str, list[str]] = {}  # key -> what a job waits for, beside its record
         self.machines: dict[str, int] = {}  # recorded machines and their stamps
         self.types: dict[str, MachineType] = {}  # as the cloud last told them: it may be out of reach
         self.types_stamp = 0
@@ -39,6 +50,11 @@
             self.types_stamp = change.stamp
         if key.startswith(JOBS) and not gone:
             self.saw_job(key[len(JOBS):], _record.decode(change.data), change.stamp)
+        elif key.startswith(LISTS):
+            if gone:
+                self.lists.pop(key, None)
+            else:
+                self.lists[key] = _list.decode(change.data)
         elif key.startswith(MACHINES):
             name = key[len(MACHINES):]
             if gone:
@@ -55,13 +71,34 @@
         known = self.active.get(job)
         if known is not None and stamp <= known[1]:
             return
-        if record.state is not JobState.ACTIVE:
+        if record.state is not JobState.ACTIVE and job not in self.ended:
             self.ended[job] = record.state
+            if record.state is JobState.DONE:
+                if record.done_at:
+                    self.done_at[job] = record.done_at
+                self.graph.done(job, record.done_at)
+            else:
+                self.graph.aborted(job)
+        elif job not in self.ended and record.spec is not None and (record.spec.needs or record.more):
+            self.graph.add(record.spec, record.at, self.needs(job, record), self.over)
         if record.spec is None:
             self.active.pop(job, None)
         elif job not in self.ended or record.state is not JobState.ACTIVE:
             self.active[job] = (record, stamp)
 
+    def needs(self, job: str, record: Record) -> list[str]:
+        """All that the job waits for, from its record and the lists beside it."""
+        result = list(record.spec.needs or ()) if record.spec is not None else []
+        for key in list_keys(job, record.more):
+            # Written before the record, and dropped after its end: a list that is missing here belongs
+            # to an end that has yet to be read. No job has the key's name, so this one waits until then.
+            result += self.lists.get(key, [key])
+        return result
+
+    def over(self, job: str) -> tuple[str, float] | None:
+        state = self.ended.get(job)
+        return (state.value, self.done_at.get(job, 0.0)) if state is not None else None
+
     def spec(self, job: str) -> JobSpec | None:
         known = self.active.get(job)
         return known[0].spec if known else None
--- a/alderbridge/store.py
+++ b/alderbridge/store.py
@@ -23,6 +23,7 @@
 TYPES = "ab/types"
 JOBS = "ab/j/"
 MACHINES = "ab/n/"
+LISTS = "ab/w/"  # what a job waits for, where its record has no room for it
 
 
 class Refused(Exception):
@@ -33,6 +34,10 @@
     """The hold has ended; what was attached to it is gone."""
 
 
+class TooLarge(Exception):
+    """400: a value, or the transaction, is larger than the store takes now. Repeated unchanged it never will be."""
+
+
 class TooOld(Exception):
     """The store no longer has the changes since that epoch."""
 
@@ -63,7 +68,7 @@
 
     async def commit(self, conditions: dict[str, int], puts: dict[str, Any], drops: list[str] = (),
                      permit: int | None = None) -> wire.Committed:
-        """Empty ``failed``: carried out at ``epoch``. ``HoldLost`` for an ended permit."""
+        """Empty ``failed``: carried out at ``epoch``. ``HoldLost`` for an ended permit, else 400 is ``TooLarge``."""
         writes: list[dict[str, Any]] = []
         for key, value in puts.items():
             write = {"put": key, "data": value}
@@ -74,7 +79,9 @@
         body = {"if": [{"k": key, "stamp": stamp} for key, stamp in conditions.items()], "writes": writes}
         status, answer = await self._call("POST", "/commit", body)
         if status == 400:
-            raise HoldLost(answer.decode("utf-8", "replace")[:200])
+            text = answer.decode("utf-8", "replace")[:200]
+            # Only this text speaks of the hold: a limit that has come down must not cost the controller its place.
+            raise HoldLost(text) if "no such lease" in text else TooLarge(text)
         return _committed.decode(answer)
 
     async def hold(self, ttl_s: float) -> int:
--- a/alderbridge/view.py
+++ b/alderbridge/view.py
@@ -22,6 +22,7 @@
     """A member's own key, attached to its hold."""
 
     permit: int
+    generation: int = 1  # of the program; the first one did not write it
 
 
 NO_VIEW = View("", {})
@@ -66,6 +67,7 @@
         self.view = NO_VIEW
         self.mandate = 0
         self.present: dict[str, tuple[int, int]] = {}  # label -> incarnation, stamp
+        self.generations: dict[str, int] = {}  # label -> generation of the program it runs
         self.trouble_since: float | None = None
         self.fresh_until = float("-inf")
 
@@ -92,6 +94,7 @@
             self.present.pop(label, None)
         else:
             self.present[label] = (presence.permit, stamp)
+            self.generations[label] = presence.generation
 
     def standing(self, now: float) -> Standing:
         if not self.hold.permit or self.view.members.get(self.me) != self.hold.permit:
@@ -113,6 +116,15 @@
         members = self.view.members
         return choose(machine, sorted(members)) if members else ""
 
+    def all_run(self, generation: int) -> bool:
+        """Whether whoever takes part, or is about to, runs this generation of the program or a newer one.
+
+        From the members' own keys in the store, so nothing depends on messages between them.
+        """
+        present = {label: permit for label, (permit, _) in self.present.items()}
+        return (all(present.get(label) == permit for label, permit in self.view.members.items())
+                and all(self.generations[label] >= generation for label in present))
+
     def next_view(self, now: float) -> tuple[View, dict[str, int]] | None:
         """The change this process should try now, with its conditions.
 
--- a/alderbridge/wire.py
+++ b/alderbridge/wire.py
@@ -45,6 +45,7 @@
     spread: bool = field(name="apart", default=False)
     spot: bool = field(name="standby", default=False)
     due_s: Amount | None = None
+    needs: list[str] | None = field(name="waits_on", default=None)
 
     @property
     def service(self) -> bool:
@@ -165,6 +166,8 @@
         raise Malformed(str(error)) from None
     if not JOB_ID.match(spec.id):
         raise Malformed("id: expected wk- and digits")
+    if not all(JOB_ID.match(need) for need in spec.needs or ()):
+        raise Malformed("waits_on: expected ids of jobs")
     return spec
 
 
