--- a/alderbridge/dependencies.py
+++ b/alderbridge/dependencies.py
@@ -13,7 +13,9 @@
 concerns, with a list of its own in place of recursion: chains may be deep.
 
 Urgency: a job has to end early enough for every job that needs it, on the
-longest way to each deadline; its priority is at least that of any of them.
+longest way to each deadline; its priority is at least that of any of them. What
+was asked for stays so when the job that asked is aborted: a little haste for
+nothing, and an end costs no new look at all that hang on the same job.
 """
 
 from __future__ import annotations
@@ -108,8 +110,8 @@
             doomed = doomed or end is not None or need in self.doomed
         if doomed:
             self._doom([spec.id])
-        if node.left:
-            self._hurry(node.needs)
+        else:
+            self._hurry(spec.id)
 
     def done(self, job: str, at: float) -> None:
         """``job`` is done in the store, ``at`` that time of day (0: an older version did not say)."""
@@ -144,32 +146,26 @@
         """The job is over. Those that wait for a doomed one keep it among what is left: they are never ready."""
         node = self.nodes.pop(job)
         self.doomed.discard(job)
-        needs = [need for need in node.needs if need in self.nodes]
-        for need in needs:
+        for need in node.needs:
             other = self.nodes[need]
             other.dependents.discard(job)
             if not other.known and not other.dependents:
                 del self.nodes[need]  # an ordinary job that nobody needs any more
         for dependent in node.dependents:
             self.nodes[dependent].needs.discard(job)
-        self._hurry(needs)
 
     # -- urgency -----------------------------------------------------------
 
-    def _hurry(self, jobs: Iterable[str]) -> None:
-        """Work out anew what these jobs' dependents ask for, and on to what they need where that changed."""
-        todo = [job for job in jobs if job in self.nodes]
+    def _hurry(self, job: str) -> None:
+        """Pass on what the job, and those that need it, ask for, as far as that is news."""
+        todo = [job]
         while todo:
             node = self.nodes[todo.pop()]
-            due, rank = self.never, -1
-            for name in node.dependents:
-                if name in self.doomed:
-                    continue
-                other = self.nodes[name]
-                rank = max(rank, other.rank, other.rank_due)
-                run = other.run_s + c.STEP_S
-                due = tuple(min(best, own - run, needed - run)
-                            for best, own, needed in zip(due, other.own, other.due, strict=True))
-            if (due, rank) != (node.due, node.rank_due):
-                node.due, node.rank_due = due, rank
-                todo += [need for need in node.needs if need in self.nodes]
+            rank, run = max(node.rank, node.rank_due), node.run_s + c.STEP_S
+            asked = tuple(min(own, due) - run for own, due in zip(node.own, node.due, strict=True))
+            for need in node.needs:
+                other = self.nodes[need]
+                due = tuple(map(min, other.due, asked))
+                if due != other.due or rank > other.rank_due:
+                    other.due, other.rank_due = due, max(rank, other.rank_due)
+                    todo.append(need)
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -110,6 +110,7 @@
         self.most_changes = self.limits.txn_ops  # in one transaction; less once the store has refused that many
         share = c.BUDGET_SHARE / len(self.labels)
         self.write_budget = Budget(self.limits.write_rps * share, self.limits.write_rps * share, now)
+        self.machines_turn = False
         self.room_at = 0.0
         self.entered_at = now  # when the view arrived here
         # left for the controller
@@ -340,23 +341,29 @@
         self.now = now
         if not self.may_act():
             return None
-        room = min(self.most_changes, int(self.write_budget.available(now)))
+        available = self.write_budget.available(now)
+        room = min(self.most_changes, int(available))
         if room < 1:
             return None
         batch = Batch(self.membership.mandate, {VIEW: self.membership.mandate})
         self.dropping += self.part.to_drop
         self.part.to_drop = []
-        for name in [name for name in self.part.to_record if name not in self.dropping][:room]:
-            batch.machines.append(name)
-            batch.conditions[MACHINES + name] = 0
-            batch.puts[MACHINES + name] = {}
         due = sorted(self.home.due_writes(now), key=lambda entry: entry[0])
         queue: list[Job | Submission] = [job for rank, job in due if rank < 2.0]
         queue += self.submissions.values()
+        # A wave of new machines must not keep users waiting for seconds: while both are due they take turns.
+        self.machines_turn = not (queue and self.machines_turn)
+        names = [name for name in self.part.to_record if name not in self.dropping]
+        for name in names[:room if self.machines_turn or not queue else 0]:
+            batch.machines.append(name)
+            batch.conditions[MACHINES + name] = 0
+            batch.puts[MACHINES + name] = {}
+        urgent = len(queue)
         queue += [job for rank, job in due if rank >= 2.0]
+        spare = available - c.URGENT_SHARE * self.write_budget.burst
         size = 0
-        for entry in queue:
-            if len(batch.puts) >= room:
+        for number, entry in enumerate(queue):
+            if len(batch.puts) >= (room if number < urgent else min(room, spare)):
                 break
             job = entry.job if isinstance(entry, Submission) else entry
             if isinstance(entry, Submission):
