--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -392,9 +392,7 @@
             return later("not ready")
         why = self.never_runs(spec)
         if why:
-            # A job that is known is never told this: ask the store before.
-            status = await self.status(spec.id)
-            return (422, wire.error(why), []) if status[0] == 404 else status
+            return await self.never(spec.id, why)
         if not self.membership.may_act(now()) or now() < self.store_bad_until:
             return later("the state service is out of reach")
         answer = await self.check_needs(spec) if spec.needs else None
@@ -421,7 +419,7 @@
             return later("a controller still runs a version that knows of no dependencies")
         for need in spec.needs or ():
             if need == spec.id:
-                return 422, wire.error(f"waits_on: {need} is this job"), []
+                return await self.never(spec.id, f"waits_on: {need} is this job")
             if node.known(need):
                 continue
             # Another node may have accepted it a moment ago: only the store can tell.
@@ -431,10 +429,15 @@
                 self.store_trouble()
                 return later("the state service is out of reach")
             if row is None:
-                return 422, wire.error(f"waits_on: {need} was never accepted"), []
+                return await self.never(spec.id, f"waits_on: {need} was never accepted")
             node.saw_job(need, _record.decode(row.data), row.stamp)
         return None
 
+    async def never(self, job: str, why: str) -> Answer:
+        """422; a job that is known is never told this, so the store is asked before."""
+        status = await self.status(job)
+        return (422, wire.error(why), []) if status[0] == 404 else status
+
     def never_runs(self, spec: wire.JobSpec) -> str:
         team = next((team for team in self.platform.settings.teams if team.name == spec.team), None)
         if team is None:
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -1,7 +1,7 @@
 """The pure whole of a controller: home, part, leader, view, channels, records.
 
 It does no I/O and takes time as an argument, so that random runs can drive
-three of them against a simulated store, simulated workers and a bad network.
+several of them against a simulated store, simulated workers and a bad network.
 ``controller`` moves what it leaves in ``outgoing``, ``questions``, ``replies``
 and ``news``, and carries out what ``next_batch``, ``membership.next_view`` and
 ``leader.decide`` ask for.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -257,6 +257,36 @@
     service.submit_until({**JOB, "id": "wk-000003"}, 201)
 
 
+def test_a_pipeline_is_taken_in_order_and_cancelled_as_a_whole(world):
+    service, state = world
+    first, second, third, late = ({**JOB, "id": f"wk-00001{n}"} for n in range(1, 5))
+    service.submit_until(first, 201)
+    unknown = {**second, "waits_on": ["wk-000011", "wk-888888"]}
+    assert service.call("POST", "/v1/jobs", unknown)[0] == 422
+    assert service.call("POST", "/v1/jobs", {**second, "waits_on": [second["id"]]})[0] == 422
+    assert service.call("POST", "/v1/jobs", {**second, "waits_on": "wk-000011"})[0] == 400
+    assert service.call("POST", "/v1/jobs", {**second, "waits_on": ["wk-000011", "wk-000011"]})[0] == 201
+    assert service.call("POST", "/v1/jobs", {**third, "waits_on": ["wk-000012"]})[0] == 201
+    assert service.call("POST", "/v1/jobs", {**unknown, "id": third["id"]})[0] == 200  # known: its state, as ever
+    assert state["data"]["ab/j/wk-000012"][0]["spec"]["waits_on"] == ["wk-000011"]
+    assert service.call("GET", "/v1/jobs/wk-000013")[1]["status"] == "pending"
+    assert service.call("POST", "/v1/jobs/wk-000011/withdraw")[1]["status"] == "aborted"
+    for job in ("wk-000012", "wk-000013"):
+        for _ in range(100):
+            answer = service.call("GET", f"/v1/jobs/{job}")
+            if answer[0] == 200 and answer[1]["status"] == "aborted":
+                break
+            time.sleep(0.05)
+        assert answer[1]["status"] == "aborted" and state["data"][f"ab/j/{job}"][0] == {"state": "aborted"}
+    assert service.call("POST", "/v1/jobs", {**late, "waits_on": ["wk-000013"]})[1]["status"] == "aborted"
+    state["down"] = True
+    try:
+        status, _, headers = service.call("POST", "/v1/jobs", {**JOB, "id": "wk-000019", "waits_on": ["wk-888888"]})
+        assert status == 503 and int(headers["Retry-After"]) > 0
+    finally:
+        state["down"] = False
+
+
 def test_half_sent_and_idle_clients_do_not_stop_others(world):
     service, _ = world
     socks = [socket.create_connection(("127.0.0.1", service.port)) for _ in range(20)]
@@ -280,6 +310,17 @@
     assert done.returncode == 2 and told in done.stderr and done.stderr.count("\n") == 1
 
 
+def test_limits_that_will_come_are_checked_and_shown(tmp_path):
+    path, value = tmp_path / "s.json", settings(1, "a:1", "b:2")
+    for coming, code, told in (({"value_kb": 2.0}, 0, "value_kb 2, txn_ops 12"),
+                               ({"txn_ops": 0}, 2, "state.next.txn_ops")):
+        value["settings"]["state"]["next"] = coming
+        path.write_text(json.dumps(value))
+        done = subprocess.run([sys.executable, "run.py", "--check", "--config", str(path)], cwd=ROOT, text=True,
+                              capture_output=True, check=False)
+        assert done.returncode == code and told in done.stdout + done.stderr
+
+
 @pytest.mark.parametrize("text, told", [
     ("[policy]\nbid = 1\n", "[policy] bid: no such setting"),
     ("[policy]\nbid_share = much\n", "bid_share: expected a number from 0.0 to 10.0"),
