--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -110,7 +110,6 @@
         self.most_changes = self.limits.txn_ops  # in one transaction; less once the store has refused that many
         share = c.BUDGET_SHARE / len(self.labels)
         self.write_budget = Budget(self.limits.write_rps * share, self.limits.write_rps * share, now)
-        self.machines_turn = False
         self.room_at = 0.0
         self.entered_at = now  # when the view arrived here
         # left for the controller
@@ -341,8 +340,11 @@
         self.now = now
         if not self.may_act():
             return None
+        # Users wait for submissions and ends: these may run ahead of an equal share of the changes. The store
+        # allows bursts of a second's worth, and what is not urgent pays it back.
         available = self.write_budget.available(now)
-        room = min(self.most_changes, int(available))
+        room = min(self.most_changes, int(available + c.AHEAD_SHARE * self.write_budget.burst))
+        plain = min(room, int(max(0.0, available)))
         if room < 1:
             return None
         batch = Batch(self.membership.mandate, {VIEW: self.membership.mandate})
@@ -351,19 +353,15 @@
         due = sorted(self.home.due_writes(now), key=lambda entry: entry[0])
         queue: list[Job | Submission] = [job for rank, job in due if rank < 2.0]
         queue += self.submissions.values()
-        # A wave of new machines must not keep users waiting for seconds: while both are due they take turns.
-        self.machines_turn = not (queue and self.machines_turn)
-        names = [name for name in self.part.to_record if name not in self.dropping]
-        for name in names[:room if self.machines_turn or not queue else 0]:
+        for name in [name for name in self.part.to_record if name not in self.dropping][:plain]:
             batch.machines.append(name)
             batch.conditions[MACHINES + name] = 0
             batch.puts[MACHINES + name] = {}
         urgent = len(queue)
         queue += [job for rank, job in due if rank >= 2.0]
-        spare = available - c.URGENT_SHARE * self.write_budget.burst
         size = 0
         for number, entry in enumerate(queue):
-            if len(batch.puts) >= (room if number < urgent else min(room, spare)):
+            if len(batch.puts) >= (room if number < urgent else plain):
                 break
             job = entry.job if isinstance(entry, Submission) else entry
             if isinstance(entry, Submission):
@@ -389,12 +387,12 @@
             else:
                 job.changed_at = None
                 batch.jobs.append((job, record, list(job.to_clear)))
-        batch.gone = self.dropping[:max(0, room - len(batch.puts))]
+        batch.gone = self.dropping[:max(0, plain - len(batch.puts))]
         batch.drops = [MACHINES + name for name in batch.gone]
         # Carried out late, a drop must not hit a record that has been written again since.
         batch.conditions |= {MACHINES + name: self.replica.machines.get(name, 0) for name in batch.gone}
-        if len(batch.puts) + len(batch.drops) < room:
-            count = room - batch.changes
+        if batch.changes < plain:
+            count = plain - batch.changes
             batch.drops += self.dropping_lists[:count]  # unanswered, a list stays behind: it is never read again
             del self.dropping_lists[:count]
         if not batch.changes:
