--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -18,7 +18,7 @@
 from .leader import Decision
 from .net import Answer, Budget, Server, Unanswered
 from .node import Batch, Node
-from .store import JOBS, MEMBERS, ROOT, TYPES, VIEW, HoldLost, Refused, Store, TooLarge, TooOld
+from .store import JOBS, MEMBERS, ROOT, TYPES, VIEW, HoldLost, Refused, Store, TooFast, TooLarge, TooOld
 from .view import Presence, Standing
 
 log = logging.getLogger("controller")
@@ -58,6 +58,9 @@
     async def after(self) -> None:
         """Move what the node has left for others."""
         node = self.node
+        renewals, node.renewals = node.renewals, []
+        for label in renewals:
+            self.mesh.renew(label)
         outgoing, node.outgoing = node.outgoing, []
         for label, frame in outgoing:
             self.mesh.put(label, frame)
@@ -215,10 +218,13 @@
                 await curio.sleep(c.ROUND_S)
             except (*_TROUBLE, HoldLost) as error:
                 self.node.batch_failed(batch, now())
-                if isinstance(error, Refused):
-                    self.node.refuse_submissions()
-                    await self.after()
-                self.store_trouble()
+                if isinstance(error, TooFast):
+                    self.node.write_budget.spend(now(), max(0.0, self.node.write_budget.available(now())))
+                else:
+                    self.store_trouble()
+                    if isinstance(error, Refused):
+                        self.node.refuse_submissions()
+                        await self.after()
                 log.info("records state=unsure cause=%s", error)
                 await curio.sleep(c.ROUND_S)
 
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -211,11 +211,14 @@
         self.received = 0
         self.unacked: deque[tuple[int, Message]] = deque()
         self.progress_at = now
+        self.posted_at = now
+        self.alive_at = now  # the last acknowledgement, or when the oldest message without one was sent
 
     def post(self, body: Message, now: float) -> Frame:
         """A message that must arrive."""
         if not self.unacked:
-            self.progress_at = now
+            self.progress_at = self.alive_at = now
+        self.posted_at = now
         self.unacked.append((self.next_seq, body))
         self.next_seq += 1
         return self._frame(self.next_seq - 1, body)
@@ -234,7 +237,7 @@
             return None
         while self.unacked and self.unacked[0][0] <= frame.ack:
             self.unacked.popleft()
-            self.progress_at = now
+            self.progress_at = self.alive_at = now
         if frame.seq == 0:
             return frame.body
         if frame.seq != self.received + 1:
@@ -249,6 +252,18 @@
         return [self._frame(seq, body) for seq, body in self.unacked]
 
 
+    def quiet(self, now: float) -> bool:
+        """Nothing on its way whose acknowledgement would show that the connection is whole."""
+        return not self.unacked and now - self.posted_at >= c.MESH_PROBE_S
+
+    def stalled(self, now: float) -> bool:
+        """Sent again and again, and never acknowledged: after a cut, the other end may have closed unheard."""
+        if not self.unacked or now - self.alive_at < c.MESH_STALL_S:
+            return False
+        self.alive_at = now  # the next connection has its time, too
+        return True
+
+
 class Mesh:
     """One outgoing connection to each peer, and whatever comes in."""
 
@@ -259,6 +274,7 @@
         self.queues: dict[str, deque[bytes]] = {label: deque() for label in peers}
         self.wake = {label: curio.Event() for label in peers}
         self.connected: set[str] = set()
+        self.renewing: set[str] = set()
         self.complained: set[str] = set()
         self.heard: dict[curio.Task, float] = {}  # who reads an incoming connection, and when it last heard of it
 
@@ -270,9 +286,14 @@
         data = _encode(frame)
         queue.append(_HEAD.pack(len(data)) + data)
 
+    def renew(self, label: str) -> None:
+        """Close the connection to a peer, which ``send_to`` opens anew."""
+        if label in self.connected:
+            self.renewing.add(label)
+
     async def flush(self) -> None:
         for label, queue in self.queues.items():
-            if queue:
+            if queue or label in self.renewing:
                 await self.wake[label].set()
 
     async def serve(self) -> None:
@@ -317,11 +338,15 @@
                 sock = await curio.timeout_after(c.CONNECT_S, curio.open_connection, *self.peers[label])
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 self.queues[label].clear()
+                self.renewing.discard(label)
                 self.connected.add(label)
                 log.info("mesh peer=%s state=connected", label)
                 while True:
                     await self.wake[label].wait()
                     self.wake[label].clear()
+                    if label in self.renewing:
+                        log.info("mesh peer=%s state=renewed cause=no acknowledgement", label)
+                        break
                     queue = self.queues[label]
                     data = b"".join(queue)
                     queue.clear()
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -114,6 +114,7 @@
         self.entered_at = now  # when the view arrived here
         # left for the controller
         self.outgoing: list[tuple[str, m.Frame]] = []
+        self.renewals: list[str] = []  # peers to be connected anew
         self.questions: deque[tuple[str, m.Ask]] = deque()
         self.replies: deque[m.Reply] = deque()
         self.news: deque[Submission | str] = deque()  # submissions decided, jobs whose end is stored
@@ -619,6 +620,10 @@
         for label in self.labels:
             self.tell(label, queue if label in members else m.Pulse())
         for label, channel in self.channels.items():
+            if label in members and channel.quiet(now):
+                self.send(label, m.Pulse())
+            if channel.stalled(now):
+                self.renewals.append(label)
             self.outgoing += [(label, frame) for frame in channel.resend(now)]
         if now - self.room_at >= c.LEADER_ROUND_S:
             self.room_at = now
--- a/alderbridge/store.py
+++ b/alderbridge/store.py
@@ -30,6 +30,10 @@
     """503 or 429: the store did not carry the request out."""
 
 
+class TooFast(Refused):
+    """429: for a moment the store is asked too much. No outage: the same goes a little later."""
+
+
 class HoldLost(Exception):
     """The hold has ended; what was attached to it is gone."""
 
@@ -51,7 +55,9 @@
                     client: Client | None = None) -> tuple[int, bytes]:
         raw = b"" if body is None else wire.encode(body)
         status, answer = await (client or self.client).request(method, target, raw, timeout_s)
-        if status in (429, 500, 502, 503, 504):
+        if status == 429:
+            raise TooFast(f"{method} {target}: {status}")
+        if status in (500, 502, 503, 504):
             raise Refused(f"{method} {target}: {status}")
         return status, answer
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -94,6 +94,19 @@
     assert not [key for key in world.store.data if key.startswith(LISTS)]
 
 
+@pytest.mark.parametrize("seed", (6000, 6001, 6002))
+def test_a_connection_that_only_seems_open_is_renewed(seed):
+    """After a cut the other end had closed unheard: for the rest of a recorded day nothing was granted (inc-ac9f)."""
+    world = World(seed, trouble=False)
+    for at in (20.0, 45.0):
+        one, other = world.rng.sample(world.labels, 2)
+        world.after(at, world.nodes[one].dead_links.add, other)
+    world.run(260.0)
+    assert not any(sim.dead_links for sim in world.nodes.values())
+    assert len(world.accepted) == 14
+    assert not [job for job in world.accepted if job not in world.said]
+
+
 def test_a_doom_is_told_only_when_no_member_that_acts_can_deny_it():
     """The job's home, cut off from the store, answers "pending" until its view is stale (seen with this check away)."""
     world = play(1, until=5.0, jobs=0, trouble=False)
--- a/tests/world.py
+++ b/tests/world.py
@@ -136,6 +136,7 @@
         self.world, self.label = world, label
         self.old = world.upgrade
         self.cut_store_until = self.cut_mesh_until = self.cut_workers_until = 0.0
+        self.dead_links: set[str] = set()  # the other end has closed and it was not heard: all is lost until renewed
         self.links = {other: 0.0 for other in world.labels}  # arrival time of the last frame: order is kept
         self.life = 0
         self.node: Node | None = None
@@ -340,10 +341,14 @@
         if self.node is None:
             return
         world = self.world
+        self.dead_links -= set(self.node.renewals)
+        self.node.renewals.clear()
         outgoing, self.node.outgoing = self.node.outgoing, []
         for label, frame in outgoing:
             other = world.nodes[label]
-            if world.t < self.cut_mesh_until or world.t < other.cut_mesh_until or world.rng.random() < 0.002:
+            if label in self.dead_links or world.t < max(self.cut_mesh_until, other.cut_mesh_until):
+                continue
+            if world.rng.random() < 0.002:
                 continue
             delay = 5.0 * world.rng.random() if world.rng.random() < 0.001 else world.rng.uniform(0.0005, 0.003)
             at = max(self.links[label] + 1e-6, world.t + delay)
