Offers are put in order once, sums and indexes are kept with each change of a task

Cause: what a report, a take or a proof cost grew with all jobs and offers: each report sorted the whole queue for its machine, each take summed up all runs, each proof asked every job for the machine, each round sorted all active jobs for the guarantees. Change: Offers are sorted when a home tells of them and fill() reads them from the front, with a heap for those whose image must be fetched; Tally keeps what teams use; an index knows which jobs have runs on a machine; a machine's free room is kept until something changes there; guarantees stop at the first job beyond a team's room. Node says how long the writer may rest. Tests: random runs compare each of these with a count made anew (books), three breaks on purpose are caught; 200 drawn queues give what the sorted queue gave; machines that die, hang or are cut off many at once, with five controllers.

--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -135,6 +135,7 @@
         self.again: list[int] = []  # heap of tasks below ``next`` that wait
         self.runs: dict[int, Run] = {}
         self.on: dict[str, set[int]] = {}  # machine -> tasks whose run is there
+        self.tally: Tally | None = None  # of its home; None: no home serves it yet
         self.errors = 0
         self.paused_until = 0.0
         self.changed_at: float | None = None  # since when the record lags behind
@@ -196,10 +197,11 @@
     def grant(self, index: int, run: Run) -> None:
         self.runs[index] = run
         self.on.setdefault(run.machine, set()).add(index)
+        self._count(1)
 
     def adopt(self, index: int, run: Run) -> None:
         """A report shows a task that was not known to be on a machine."""
-        self.unknown.discard(index)
+        self._known(index)
         self.next = max(self.next, index + 1)
         self._no_longer_waiting(index)
         self.grant(index, run)
@@ -226,10 +228,20 @@
             self.ended_at = now
             log.info("job=%s state=done cause=last task", self.spec.id)
 
+    def _count(self, change: int) -> None:
+        if self.tally is not None:
+            self.tally.add(self.spec, change)
+
+    def _known(self, index: int) -> None:
+        if index in self.unknown:
+            self.unknown.remove(index)
+            self._count(-1)
+
     def _leave(self, index: int) -> None:
-        self.unknown.discard(index)
+        self._known(index)
         run = self.runs.pop(index, None)
         if run is not None:
+            self._count(-1)
             there = self.on[run.machine]
             there.discard(index)
             if not there:
@@ -274,6 +286,8 @@
     def touch(self, now: float) -> None:
         if self.changed_at is None:
             self.changed_at = now
+        if self.tally is not None:
+            self.tally.changed = True
 
     def pick(self, now: float) -> int | None:
         """The next task to grant: lowest first, never beyond the stored mark."""
@@ -304,6 +318,22 @@
         return msgspec.structs.replace(bare, done=self.done.fitted(room))
 
 
+class Tally:
+    """What each team's tasks on machines take here, kept with each change of a task's state.
+
+    ``Home.used`` counts anew each round, so that sums of floats stay exact to far below a task.
+    """
+
+    def __init__(self) -> None:
+        self.teams: dict[str, tuple[float, float]] = {}
+        self.changed = False  # a job has changed since its record was last looked at
+
+    def add(self, spec: JobSpec, tasks: int) -> None:
+        self.changed = True
+        cpus, gpus = self.teams.get(spec.team, (0.0, 0.0))
+        self.teams[spec.team] = (cpus + tasks * spec.cpus, gpus + tasks * spec.gpus)
+
+
 class Usage:
     """What each team's tasks take, here, against the leader's allowance."""
 
@@ -336,6 +366,8 @@
 
     def __init__(self, teams: Iterable[Team], send: Send, value_bytes: int) -> None:
         self.jobs: dict[str, Job] = {}
+        self.tally = Tally()
+        self.there: dict[str, set[str]] = {}  # machine -> jobs that have, or had, a run there
         self.usage = Usage(teams)
         self.send = send  # (label, message) -> number of the message in its channel
         self.value_bytes = value_bytes
@@ -345,6 +377,7 @@
         self.barrier: set[str] = set()  # machines that inherited tasks may still be on
         self.allots = 0
         self.settled = False  # every member acts under this view, or not at all
+        self.due_at = 0.0  # see ``due_writes``
 
     # -- view and inheritance ----------------------------------------------
 
@@ -357,7 +390,11 @@
         self.mandate = mandate
         self.settled = False
         self.attempts = 0
-        self.jobs = jobs
+        for job in self.jobs.values():
+            job.tally = None
+        self.jobs, self.tally, self.there = {}, Tally(), {}
+        for job in jobs.values():
+            self.join(job)
         self.barrier = set(machines)
         self.usage.allowed = {}
         self.allots = 0
@@ -367,6 +404,20 @@
         if not self.barrier:
             self._lift()
 
+    def join(self, job: Job) -> None:
+        """This home serves the job from here on."""
+        self.jobs[job.spec.id] = job
+        job.tally = self.tally
+        self.tally.add(job.spec, job.on_machines)
+        for machine in job.on:
+            self.there.setdefault(machine, set()).add(job.spec.id)
+
+    def leave(self, job: Job) -> None:
+        """Nothing of the job is left to do."""
+        del self.jobs[job.spec.id]
+        self.tally.add(job.spec, -job.on_machines)
+        job.tally = None
+
     def _lift(self) -> None:
         """No recorded machine is left that could hold an unknown task."""
         for job in self.jobs.values():
@@ -374,31 +425,35 @@
                 job.free(index)
 
     def used(self) -> dict[str, tuple[float, float]]:
-        result: dict[str, tuple[float, float]] = {}
+        """Per team, what its tasks on machines take; counted anew, and kept until the next count."""
+        counted = Tally()
         for job in self.jobs.values():
-            count = job.on_machines
-            if count:
-                cpus, gpus = result.get(job.spec.team, (0.0, 0.0))
-                result[job.spec.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
-        return result
-
-    def held(self) -> dict[str, tuple[float, float]]:
-        """Per team, the larger of what is used and what is allowed."""
-        result = self.used()
+            if job.runs or job.unknown:
+                counted.add(job.spec, job.on_machines)
+        self.tally.teams = counted.teams
+        return dict(counted.teams)
+
+    def held(self, used: dict[str, tuple[float, float]]) -> dict[str, tuple[float, float]]:
+        """Per team with a limit, the larger of what is used and what is allowed."""
+        result = {team: taken for team, taken in used.items() if self.usage.limited(team)}
         for team, (cpus, gpus) in self.usage.allowed.items():
-            used = result.get(team, (0.0, 0.0))
-            result[team] = (max(cpus, used[0]), max(gpus, used[1]))
-        return {team: held for team, held in result.items() if self.usage.limited(team)}
+            taken = result.get(team, (0.0, 0.0))
+            if self.usage.limited(team):
+                result[team] = (max(cpus, taken[0]), max(gpus, taken[1]))
+        return result
 
-    def want(self) -> dict[str, tuple[float, float]]:
+    def want(self, used: dict[str, tuple[float, float]]) -> dict[str, tuple[float, float]]:
         """Per team with a limit, what all its tasks here would take."""
-        result: dict[str, tuple[float, float]] = {}
+        result = Tally()
         for job in self.jobs.values():
-            count = 0 if job.waits else job.on_machines + job.waiting
-            if count and self.usage.limited(job.spec.team):
-                cpus, gpus = result.get(job.spec.team, (0.0, 0.0))
-                result[job.spec.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
-        return result
+            # What waits for other jobs holds nothing of the limit, and nothing of it is on a machine.
+            if not job.waits and self.usage.limited(job.spec.team) and (count := job.waiting):
+                result.add(job.spec, count)
+        for team, (cpus, gpus) in used.items():
+            if self.usage.limited(team):
+                waiting = result.teams.get(team, (0.0, 0.0))
+                result.teams[team] = (cpus + waiting[0], gpus + waiting[1])
+        return result.teams
 
     def allot(self, teams: dict[str, tuple[float, float]]) -> None:
         self.usage.allowed = dict(teams)
@@ -408,8 +463,7 @@
 
     def rows(self, now: float, due_in: Callable[[Job, float, bool], tuple[float, bool]],
              run_time: Callable[[JobSpec], float], rank: Callable[[JobSpec], int],
-             guaranteed_jobs: Container[str] = ()) -> list[QueueRow]:
-        used = self.used()
+             guaranteed_jobs: Container[str], used: dict[str, tuple[float, float]]) -> list[QueueRow]:
         rows = []
         for job in self.jobs.values():
             spec = job.spec
@@ -447,6 +501,7 @@
                 attempt = self._attempt(job)
                 run = Run(take.machine, take.zone, attempt, 0, TaskState.GRANTED, now)
                 job.grant(index, run)
+                self.there.setdefault(run.machine, set()).add(job.spec.id)
                 runs.append(run)
                 log.debug("task=%s/%d state=granted machine=%s", job.spec.id, index, take.machine)
                 tasks.append((index, attempt))
@@ -466,7 +521,7 @@
     def _team_room(self, job: Job) -> int:
         if not self.usage.limited(job.spec.team):
             return job.spec.tasks
-        return self.usage.room(job.spec.team, self.used().get(job.spec.team, (0.0, 0.0)), job.spec)
+        return self.usage.room(job.spec.team, self.tally.teams.get(job.spec.team, (0.0, 0.0)), job.spec)
 
     # -- reports -----------------------------------------------------------
 
@@ -477,10 +532,18 @@
             present.add((task.job, task.index))
             self._seen_task(label, seen, task, now)
         present.update((job, index) for job, index, _ in seen.held)
-        for job in self.jobs.values():
-            for index in [*job.on.get(seen.machine, ())]:
-                if (job.spec.id, index) not in present and job.runs[index].seq <= seen.upto:
+        jobs = self.there.get(seen.machine)
+        for name in list(jobs or ()):
+            job = self.jobs.get(name)
+            there = job.on.get(seen.machine) if job is not None else None
+            if there is None:
+                jobs.discard(name)
+                continue
+            for index in [*there]:
+                if (name, index) not in present and job.runs[index].seq <= seen.upto:
                     job.free(index)
+        if jobs is not None and not jobs:
+            del self.there[seen.machine]
         if seen.machine in self.barrier:
             self.barrier.discard(seen.machine)
             if not self.barrier:
@@ -509,6 +572,7 @@
         wanted = job is not None and job.state is JobState.ACTIVE and task.index not in job.done
         if job is not None and run is None and task.index not in job.done:
             job.adopt(task.index, self._run(seen, task, now))
+            self.there.setdefault(seen.machine, set()).add(task.job)
         elif job is not None and ours:
             job.progress(task.index, _LIVE.get(task.status, TaskState.RUNNING))
         else:
@@ -534,7 +598,12 @@
         return self.settled or not job.inherited
 
     def due_writes(self, now: float) -> Iterator[tuple[float, Job]]:
-        """Jobs whose record lags, most urgent first: ends, then marks, then progress."""
+        """Jobs whose record lags, most urgent first: ends, then marks, then progress.
+
+        ``due_at`` is then when the first of the others is due, if nothing changes before.
+        """
+        self.tally.changed = False
+        self.due_at = math.inf
         for job in self.jobs.values():
             if job.full and job.stored_state is not JobState.ACTIVE and not job.on_machines:
                 yield (3.0, job)  # nothing of it is left: its record shrinks
@@ -546,6 +615,8 @@
                     yield (1.0, job)
                 elif now - job.last_write >= c.PROGRESS_S:
                     yield (2.0 + job.last_write * 1e-9, job)
+                else:
+                    self.due_at = min(self.due_at, job.last_write + c.PROGRESS_S)
 
     def written(self, job: Job, record: Record, stamp: int, cleared: list[tuple[str, int, int]], now: float) -> None:
         """The store holds ``record``, which counts the results in ``cleared``."""
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -64,6 +64,7 @@
         self.news = (0, 0)  # (tenure, counter) of the newest report
         # Since when only this process could have answered its reports; None: not yet.
         self.sole_since: float | None = None
+        self.free: placement.Room | None = None  # what is free, until something changes here
         self.tasks: dict[Task, OnMachine] = {}
         self.pending: dict[Task, Pending] = {}
         self.reserved: dict[int, tuple[str, int]] = {}  # take -> job, count
@@ -101,19 +102,18 @@
         self.pending.clear()
         self.halts.clear()
         self.clears.clear()
+        self.free = None
 
     @property
     def proven(self) -> bool:
         """What is known of its tasks is complete under this view."""
         return self.acked or self.state in (MachineState.LAPSED, MachineState.GONE)
 
-    @property
-    def live(self) -> dict[Task, OnMachine]:
-        return {task: on for task, on in self.tasks.items() if on.status != "ended"}
-
     @property
     def idle(self) -> bool:
-        return not self.pending and not self.reserved and all(on.status == "ended" for on in self.tasks.values())
+        if self.pending or self.reserved:
+            return False
+        return all(on.status == "ended" for on in self.tasks.values())
 
 
 class Part:
@@ -134,10 +134,20 @@
         self.to_drop: list[str] = []  # nothing is on them: no new view need wait for them
         self.mandate = 0
         self.members: list[str] = []
-        self.types: dict[str, MachineType] = {}
+        self._types: dict[str, MachineType] = {}
         self.settled_at: float | None = None  # since when all members act under this view
         self.takes = 0
 
+    @property
+    def types(self) -> dict[str, MachineType]:
+        return self._types
+
+    @types.setter
+    def types(self, types: dict[str, MachineType]) -> None:
+        self._types = types
+        for machine in self.machines.values():
+            machine.free = None
+
     def enter(self, mandate: int, members: list[str], machines: Iterable[str], now: float,
               continued: bool = False) -> None:
         """A new view: these recorded machines are ours; all must acknowledge.
@@ -233,6 +243,7 @@
         elif machine.idle_since is None:
             machine.idle_since = now
         if tell:
+            machine.free = None
             self.tell_homes(machine)
 
     def _orphans(self, machine: Machine) -> None:
@@ -303,24 +314,27 @@
 
     # -- messages of homes -------------------------------------------------
 
-    def on_grant(self, label: str, grant: Grant, now: float) -> None:
+    def on_grant(self, label: str, grant: Grant, now: float) -> Machine | None:
+        """The machine that it is for, if that is still here."""
         machine = self.machines.get(grant.machine)
         if machine is None:
             if grant.tasks and grant.machine in self.returned:  # gone while the grant was on its way
                 self.send(label, Seen(grant.machine, "", self.upto(label), [], []))
-            return
+            return None
         machine.reserved.pop(grant.take, None)
+        machine.free = None
         if not grant.tasks:
             if machine.idle and machine.idle_since is None:
                 machine.idle_since = now
-            return
+            return machine
         machine.owed.add(label)
         if machine.state is not MachineState.UP:
             self.tell_homes(machine)  # never ordered: the home takes them back
-            return
+            return machine
         for index, attempt in grant.tasks:
             machine.pending[(grant.job, index)] = Pending(attempt)
         machine.idle_since = None
+        return machine
 
     def on_halt(self, halt: Halt) -> None:
         machine = self.machines.get(halt.machine)
@@ -330,6 +344,7 @@
         pending = machine.pending.get(key)
         if pending is not None and pending.attempt == halt.attempt and not pending.sent:
             del machine.pending[key]
+            machine.free = None
             self.tell_homes(machine)
             return
         machine.halts[key] = (halt.attempt, halt.wind_down_s)
@@ -342,6 +357,7 @@
     def reserve(self, machine: Machine, job: str, count: int) -> int:
         self.takes += 1
         machine.reserved[self.takes] = (job, count)
+        machine.free = None
         machine.idle_since = None
         return self.takes
 
@@ -376,6 +392,7 @@
         for key in unsent:
             del machine.pending[key]
         if unsent:
+            machine.free = None
             self.tell_homes(machine)
 
     def on_gone(self, names: Iterable[str]) -> list[str]:
@@ -413,28 +430,38 @@
 
     # -- for placement and the leader ----------------------------------------
 
-    def free(self, machine: Machine) -> tuple[float, float, float]:
+    def free(self, machine: Machine) -> placement.Room:
+        if machine.free is not None:
+            return machine.free
         kind = self.types.get(machine.type)
         if kind is None:
             return (0.0, 0.0, 0.0)
-        cpus, memory, gpus = kind.cpus, kind.memory_gb, kind.gpus
-        taken: list[tuple[str, int]] = [(job, 1) for job, _ in machine.live] + [(job, 1) for job, _ in machine.pending]
-        taken += list(machine.reserved.values())
-        for job, count in taken:
+        counts: dict[str, int] = {}
+        for (job, _), on in machine.tasks.items():
+            if on.status != "ended":
+                counts[job] = counts.get(job, 0) + 1
+        for job, _ in machine.pending:
+            counts[job] = counts.get(job, 0) + 1
+        for job, count in machine.reserved.values():
+            counts[job] = counts.get(job, 0) + count
+        room, known = (kind.cpus, kind.memory_gb, kind.gpus), True
+        for job, count in counts.items():
             spec = self.spec_of(job)
             if spec is not None:
-                cpus -= spec.cpus * count
-                memory -= spec.memory_gb * count
-                gpus -= spec.gpus * count
-        return (cpus, memory, gpus)
+                room = placement.minus(room, spec, count)
+            else:
+                known = False  # over for good, or yet to arrive here: looked at again next time
+        if known:
+            machine.free = room
+        return room
 
     def room(self, now: float, run_time: Callable[[JobSpec], float]) -> list[RoomRow]:
         rows = []
         for machine in self.machines.values():
-            ends: dict[float, tuple[float, float, float]] = {}  # whole seconds: what ends together is one entry
-            running = [(job, on.since) for (job, _), on in machine.live.items() if on.status == "running"]
-            starting = [(job, now) for (job, _), on in machine.live.items() if on.status != "running"]
-            for job, since in running + starting + [(job, now) for job, _ in machine.pending]:
+            ends: dict[float, placement.Room] = {}  # whole seconds: what ends together is one entry
+            told = [(job, on.since if on.status == "running" else now)
+                    for (job, _), on in machine.tasks.items() if on.status != "ended"]
+            for job, since in told + [(job, now) for job, _ in machine.pending]:
                 spec = self.spec_of(job)
                 if spec is not None:
                     end = float(math.ceil(max(0.0, run_time(spec) - (now - since))))
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -99,8 +99,7 @@
         self.loaded = False
         self.incarnation = 0  # the permit under which home and part were last built
         self.types: dict[str, wire.MachineType] = {}
-        self.offers: dict[str, tuple[float, list[tuple[m.QueueRow, wire.JobSpec]]]] = {}  # label -> receipt, rows
-        self.taken: dict[tuple[str, str], int] = {}
+        self.offers = placement.Offers()
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
         self.dropping_lists: list[str] = []  # keys of lists whose jobs are over
@@ -109,15 +108,18 @@
         self.wall = 0.0  # time of day less ``now``
         self.most_changes = self.limits.txn_ops  # in one transaction; less once the store has refused that many
         share = c.BUDGET_SHARE / len(self.labels)
+        self.fresh = False  # a submission has come since the last look for what to write
         self.write_budget = Budget(self.limits.write_rps * share, self.limits.write_rps * share, now)
         self.room_at = 0.0
         self.entered_at = now  # when the view arrived here
         # left for the controller
         self.outgoing: list[tuple[str, m.Frame]] = []
+        self.told: dict[str, tuple[m.Queue, float, int]] = {}  # peer -> last queue told, when, what it acknowledged
         self.renewals: list[str] = []  # peers to be connected anew
         self.questions: deque[tuple[str, m.Ask]] = deque()
         self.replies: deque[m.Reply] = deque()
-        self.news: deque[Submission | str] = deque()  # submissions decided, jobs whose end is stored
+        # submissions decided, jobs whose end is stored, machines that have all grants they asked for
+        self.news: deque[Submission | str | Machine] = deque()
 
     # -- small questions ---------------------------------------------------
 
@@ -202,16 +204,17 @@
         match body:
             case m.Queue():
                 specs = ((row, self.spec_of(row.job)) for row in body.rows if row.offer > 0)
-                self.offers[label] = (self.now, [(row, spec) for row, spec in specs if spec is not None])
-                for row in body.rows:
-                    self.taken.pop((label, row.job), None)
+                self.offers.tell(label, [placement.Offer(label, row, spec, self.now, c.GATHER_S)
+                                         for row, spec in specs if spec is not None])
                 self.leader.on_queue(label, body, self.now)
             case m.Room():
                 self.leader.on_room(label, body, self.now)
             case m.Take():
                 self.home.on_take(label, body, self.now, self.may_act())
             case m.Grant():
-                self.part.on_grant(label, body, self.now)
+                machine = self.part.on_grant(label, body, self.now)
+                if machine is not None and not machine.reserved:
+                    self.news.append(machine)
             case m.Seen():
                 self.home.on_seen(label, body, self.now)
             case m.Clear():
@@ -272,8 +275,8 @@
         for channel in self.channels.values():
             channel.reset(mandate, now)
         self.inbox.clear()
+        self.told.clear()
         self.offers.clear()
-        self.taken.clear()
         inside = self.membership.standing(now) is not Standing.OUTSIDE
         continued = inside and self.loaded and self.incarnation == self.membership.hold.permit
         old = self.home.jobs if continued else {}
@@ -346,6 +349,7 @@
         available = self.write_budget.available(now)
         room = min(self.most_changes, int(available + c.AHEAD_SHARE * self.write_budget.burst))
         plain = min(room, int(max(0.0, available)))
+        self.fresh = False
         if room < 1:
             return None
         batch = Batch(self.membership.mandate, {VIEW: self.membership.mandate})
@@ -401,6 +405,23 @@
         self.write_budget.spend(now, batch.changes)
         return batch
 
+    def nothing_to_write(self) -> bool:
+        """Whether nothing has come since the last look that found nothing, or nothing affordable, to write."""
+        return not (self.fresh or self.home.tally.changed or self.part.to_record or self.part.to_drop or self.dropping
+                    or self.dropping_lists)
+
+    def next_write_in(self, now: float) -> float:
+        """How long a look for what to write can wait, in seconds, if nothing comes."""
+        budget = self.write_budget
+        available = budget.available(now)
+        ahead = available + c.AHEAD_SHARE * budget.burst
+        pause = min(c.ROUND_S, self.home.due_at - now)
+        if ahead < 1:
+            pause = min(c.ROUND_S, (1 - ahead) / budget.rate)
+        elif available < 1:
+            pause = min(pause, (1 - available) / budget.rate)
+        return max(c.WRITER_PAUSE_S, pause)
+
     def batch_failed(self, batch: Batch, now: float) -> None:
         """Refused, in conflict, or without an answer: all of it is due again."""
         for job, _, _ in batch.jobs:
@@ -445,7 +466,7 @@
             job.stamp = stamp
             self.replica.saw_job(job.spec.id, record, stamp)
             if current and record.state is JobState.ACTIVE:  # else the view that has arrived gave it to its home
-                self.home.jobs[job.spec.id] = job
+                self.home.join(job)
                 self.place_in_graph(job)
             self._settle(submission, "accepted")
         self.follow_graph()
@@ -459,7 +480,7 @@
             self.dropping_lists += list_keys(job.spec.id, job.more)
             job.more = ""
         if job.drained and self.home.jobs.get(job.spec.id) is job:
-            del self.home.jobs[job.spec.id]
+            self.home.leave(job)
 
     def _recorded(self, name: str, stamp: int, current: bool) -> None:
         self.replica.machines[name] = max(stamp, self.replica.machines.get(name, 0))
@@ -497,7 +518,7 @@
                 ours = record.home == self.me and record.at == job.at and record.state is JobState.ACTIVE
                 if ours and current and name not in self.home.jobs and job.state is JobState.ACTIVE:
                     job.stamp = row.stamp  # an earlier write of ours had no answer
-                    self.home.jobs[name] = job
+                    self.home.join(job)
                     self.place_in_graph(job)
                 self._settle(submission, "known")
         for job, _, _ in batch.jobs:
@@ -529,6 +550,7 @@
             return None
         submission = Submission(Job(record, 0, now, 0.0, fresh=True), lists=lists)
         self.submissions[spec.id] = submission
+        self.fresh = True
         return submission
 
     def saw_job(self, name: str, record: Record, stamp: int) -> None:
@@ -569,32 +591,23 @@
         return machine
 
     def place(self, machine: Machine, now: float) -> None:
-        """Ask homes for tasks that fit this machine, soonest deadline first."""
+        """Ask homes for tasks that fit this machine."""
         candidate = self.part.candidate(machine, now)
         if candidate is None:
             return
-        idle, free = machine.idle, candidate.free[0] + 1e-9
-        queue = []
-        for label, (since, rows) in self.offers.items():
-            for row, spec in rows:
-                if spec.cpus > free:
-                    continue
-                left = row.offer - self.taken.get((label, row.job), 0)
-                if left <= 0 or not placement.fits(spec, candidate.free):
-                    continue
-                due, fetch = row.due_in_s - (now - since), self.part.fetch_s(machine, spec)
-                if idle and row.waited_s + now - since < c.GATHER_S:
-                    if self.busy is None:
-                        self.busy = self.part.busy(now)
-                    left -= self.busy.room(spec)
-                if left > 0:
-                    order = placement.order(row, spec, due + fetch)
-                    queue.append((order, label, msgspec.structs.replace(row, offer=left), spec))
-        queue.sort(key=lambda entry: entry[:2])
-        for want in placement.plan([candidate], [entry[1:] for entry in queue]):
+        idle = machine.idle
+
+        def room_elsewhere(offer: placement.Offer) -> int:
+            """An idle machine leaves young tasks to busy ones with room."""
+            if not idle or now >= offer.young_until:
+                return 0
+            if self.busy is None:
+                self.busy = self.part.busy(now)
+            return self.busy.room(offer.spec)
+
+        for want in placement.fill(candidate, self.offers, lambda spec: self.part.fetch_s(machine, spec),
+                                   room_elsewhere):
             take = self.part.reserve(machine, want.job, want.count)
-            key = (want.home, want.job)
-            self.taken[key] = self.taken.get(key, 0) + want.count
             self.send(want.home, m.Take(take, want.job, want.machine, want.zone, want.count))
         self.pump()
 
@@ -615,10 +628,14 @@
         if self.may_act():
             self.part.check_leases(now)
         self.busy = None
-        rows = self.home.rows(now, self.due_in, self.run_time, self.rank, self.guaranteed())
-        queue = m.Queue(rows, self.home.used(), self.home.held(), self.home.want(), self.home.allots)
+        used = self.home.used()
+        rows = self.home.rows(now, self.due_in, self.run_time, self.rank, self.guaranteed(), used)
+        queue = m.Queue(rows, used, self.home.held(used), self.home.want(used), self.home.allots)
         for label in self.labels:
-            self.tell(label, queue if label in members else m.Pulse())
+            if label not in members:
+                self.tell(label, m.Pulse())
+            elif label == self.me or self.queue_is_news(label, queue, now):
+                self.tell(label, queue)
         for label, channel in self.channels.items():
             if label in members and channel.quiet(now):
                 self.send(label, m.Pulse())
@@ -633,23 +650,40 @@
                 self.send(label, m.Allot(teams))
         self.pump()
 
+    def queue_is_news(self, label: str, queue: m.Queue, now: float) -> bool:
+        """An empty queue is told again only now and then, or with an acknowledgement that the peer waits for."""
+        last, at, received = self.told.get(label, (None, 0.0, 0))
+        channel = self.channels[label]
+        if last == queue and not queue.rows and received == channel.received and now - at < c.MESH_PROBE_S:
+            return False
+        self.told[label] = (queue, now, channel.received)
+        return True
+
     def guaranteed(self) -> set[str]:
         """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs, on any home."""
         room = {team.name: (team.cpus, team.gpus) for team in self.shared.teams if team.cpus > 0 or team.gpus > 0}
         result: set[str] = set()
         if not room:
             return result
-        for name, (record, _) in sorted(self.replica.active.items(), key=lambda entry: entry[1][0].at):
-            spec = record.spec
-            if spec is None or spec.team not in room or record.state is not JobState.ACTIVE or self.graph.waiting(name):
+        active, left = self.replica.active, self.replica.left
+        for _, name in self.replica.oldest_first():
+            if not room:
+                break
+            known = active.get(name)
+            if known is None:
+                continue
+            spec = known[0].spec
+            if spec.team not in room or known[0].state is not JobState.ACTIVE or self.graph.waiting(name):
                 continue  # what waits for others holds no part of the guarantee
             mine = self.home.jobs.get(name)
-            done = mine.done.count if mine is not None else sum(high - low for low, high in record.done)
+            tasks = left[name] if mine is None else spec.tasks - mine.done.count
             cpus, gpus = room[spec.team]
-            cpus, gpus = cpus - (spec.tasks - done) * spec.cpus, gpus - (spec.tasks - done) * spec.gpus
-            room[spec.team] = (cpus, gpus)
+            cpus, gpus = cpus - tasks * spec.cpus, gpus - tasks * spec.gpus
             if cpus >= -1e-9 and gpus >= -1e-9:
+                room[spec.team] = (cpus, gpus)
                 result.add(name)
+            else:
+                del room[spec.team]  # the team's later jobs lie beyond its guarantee as well
         return result
 
     def returned(self, names: list[str], now: float) -> None:
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -1,15 +1,19 @@
-"""Which waiting tasks go to which machine of this part.
+"""Which waiting tasks go to a machine of this part that has room.
 
-Soonest deadline first. A machine must be of an allowed type, zone and kind and
-have room. Among those, one that has the image goes first, then a spot machine
-for jobs that may use spot (ordinary ones are kept for jobs that may not), then
-the one that is filled best.
+What can still be in time first, then higher priority, then soonest deadline; an
+image that must be fetched counts as a later deadline. The machine must be of an
+allowed type, zone and kind.
+
+What the homes offer is put in order when they tell of it, not for each report:
+``fill`` reads it from the front and stops when the machine is full.
 """
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from .mesh import QueueRow
@@ -97,37 +101,81 @@
     return row.late, -rank, due_in_s
 
 
-def plan(candidates: Iterable[Candidate], queue: Iterable[tuple[str, QueueRow, JobSpec]]) -> list[Wanted]:
-    """What to ask for; ``queue`` is sorted, soonest deadline first."""
-    room = {m.name: m.free for m in candidates}
-    machines = {m.name: m for m in candidates}
-    result: list[Wanted] = []
-    for home, row, spec in queue:
-        offer = row.offer
-        if offer <= 0:
+class Offer:
+    """Tasks of one job that its home would grant now; ``left`` falls as they are asked for."""
+
+    __slots__ = ("key", "label", "row", "spec", "left", "young_until")
+
+    def __init__(self, label: str, row: QueueRow, spec: JobSpec, now: float, gather_s: float) -> None:
+        self.key = order(row, spec, now + row.due_in_s)  # by the clock: it holds while time passes
+        self.label, self.row, self.spec, self.left = label, row, spec, row.offer
+        self.young_until = now - row.waited_s + gather_s
+
+
+class Offers:
+    """What all homes offer, in the order of placement."""
+
+    def __init__(self) -> None:
+        self.by_home: dict[str, list[tuple[tuple[bool, int, float], str, int, Offer]]] = {}
+        self.least: dict[str, float] = {}  # cpus of a home's smallest task
+        self.merged: list[tuple[tuple[bool, int, float], str, int, Offer]] | None = []
+        self.least_cpus = math.inf
+
+    def clear(self) -> None:
+        self.by_home.clear()
+        self.least.clear()
+        self.merged = None
+
+    def tell(self, label: str, offers: list[Offer]) -> None:
+        """All that a home offers now, in place of what it told before."""
+        self.by_home[label] = sorted((offer.key, label, number, offer) for number, offer in enumerate(offers))
+        self.least[label] = min((offer.spec.cpus for offer in offers), default=math.inf)
+        self.merged = None
+
+    def in_order(self) -> list[tuple[tuple[bool, int, float], str, int, Offer]]:
+        if self.merged is None:
+            self.merged = sorted(itertools.chain.from_iterable(self.by_home.values()))  # a few runs, each in order
+            self.least_cpus = min(self.least.values(), default=math.inf)
+        return self.merged
+
+
+def fill(machine: Candidate, offers: Offers, fetch_s: Callable[[JobSpec], float],
+         room_elsewhere: Callable[[Offer], int]) -> list[Wanted]:
+    """What to ask for, for one machine; takes it off ``left``.
+
+    ``room_elsewhere``: how many of an offer's tasks are left to other machines. An offer whose
+    image must be fetched waits in a heap until its later deadline has its turn, so that the
+    front of the list is enough.
+    """
+    queue, result, room = offers.in_order(), [], machine.free
+    later: list[tuple[tuple[bool, int, float], str, int, Offer]] = []  # by the deadline less the fetch
+
+    def ask(offer: Offer) -> None:
+        nonlocal room
+        count = min(fits(offer.spec, room), offer.left - room_elsewhere(offer))
+        if count > 0:
+            offer.left -= count
+            room = minus(room, offer.spec, count)
+            result.append(Wanted(offer.label, offer.row.job, machine.name, machine.zone, count))
+
+    for key, label, number, offer in queue:
+        if room[0] + 1e-9 < offers.least_cpus:
+            return result
+        while later and later[0][0] <= key:
+            ask(heapq.heappop(later)[-1])
+        spec = offer.spec
+        if offer.left <= 0 or spec.cpus > room[0] + 1e-9 or spec.memory_gb > room[1] + 1e-9:
+            continue
+        if not allowed(spec, machine.type, machine.zone, machine.spot):
+            continue
+        if offer.row.zone is not None and offer.row.zone != machine.zone:
             continue
-        if not room:
-            break
-        options = []
-        for name, free in room.items():
-            machine = machines[name]
-            if not allowed(spec, machine.type, machine.zone, machine.spot):
-                continue
-            if row.zone is not None and machine.zone != row.zone:
-                continue
-            count = fits(spec, free)
-            if count:
-                options.append((spec.image not in machine.images, spec.spot and not machine.spot,
-                                abs(count - offer), name, count))
-        zone = row.zone
-        for _, _, _, name, count in sorted(options):
-            if spec.one_zone and zone is not None and machines[name].zone != zone:
-                continue
-            zone = machines[name].zone
-            count = min(count, offer)
-            result.append(Wanted(home, row.job, name, zone, count))
-            room[name] = minus(room[name], spec, count)
-            offer -= count
-            if offer <= 0:
-                break
+        fetch = fetch_s(spec)
+        if fetch > 0:
+            late, rank, due = key
+            heapq.heappush(later, ((late, rank, due + fetch), label, number, offer))
+        else:
+            ask(offer)
+    while later:
+        ask(heapq.heappop(later)[-1])
     return result
--- a/alderbridge/replica.py
+++ b/alderbridge/replica.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import bisect
+
 import msgspec
 
+from . import constants as c
 from .dependencies import Graph
 from .jobs import JobState, Record
 from .store import JOBS, LISTS, MACHINES, MEMBERS, TYPES, VIEW
@@ -32,6 +35,8 @@
         self.membership = membership
         self.graph = graph
         self.active: dict[str, tuple[Record, int]] = {}  # jobs that still have a spec, and their stamps
+        self.left: dict[str, int] = {}  # of these, tasks that their records do not count as done
+        self.by_age: list[tuple[float, str]] = []  # time of day of the submission; some may be over
         self.ended: dict[str, JobState] = {}  # told for ever; one small entry a job
         self.done_at: dict[str, float] = {}  # time of day, where the record says it
         self.lists: dict[str, list[str]] = {}  # key -> what a job waits for, beside its record
@@ -83,8 +88,18 @@
             self.graph.add(record.spec, record.at, self.needs(job, record), self.over)
         if record.spec is None:
             self.active.pop(job, None)
+            self.left.pop(job, None)
         elif job not in self.ended or record.state is not JobState.ACTIVE:
+            if known is None:
+                bisect.insort(self.by_age, (record.at, job))
             self.active[job] = (record, stamp)
+            self.left[job] = record.spec.tasks - sum(high - low for low, high in record.done)
+
+    def oldest_first(self) -> list[tuple[float, str]]:
+        """Active jobs by their submission, some that are over among them."""
+        if len(self.by_age) > 2 * len(self.active) + c.QUEUE_ROWS:
+            self.by_age = [entry for entry in self.by_age if entry[1] in self.active]
+        return self.by_age
 
     def needs(self, job: str, record: Record) -> list[str]:
         """All that the job waits for, from its record and the lists beside it."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,7 +1,13 @@
-"""Light work gathers on busy machines."""
+"""Light work gathers on busy machines; machines are filled in the order of the whole queue."""
 
-from alderbridge.placement import Busy, Candidate
-from alderbridge.wire import JobSpec
+import random
+
+import msgspec
+import pytest
+
+from alderbridge.mesh import QueueRow
+from alderbridge.placement import Busy, Candidate, Offer, Offers, allowed, fill, fits, minus
+from alderbridge.wire import PRIORITIES, JobSpec
 
 
 def spec(spot=True, **more):
@@ -16,3 +22,50 @@
     assert busy.room(spec(spot=False)) == 3
     assert busy.room(spec(zone="a")) == 2
     assert busy.room(spec(types=["c16"])) == 0
+
+
+def brute(machine, rows, fetch_s, elsewhere):
+    """The whole queue sorted for this one machine, as each report once did."""
+    queue = sorted(((late, rank, due + fetch_s(offer.spec)), label, number, offer)
+                   for label, offers in rows.items() for number, offer in enumerate(offers)
+                   for late, rank, due in [offer.key])
+    room, wanted = machine.free, []
+    for _, label, _, offer in queue:
+        if allowed(offer.spec, machine.type, machine.zone, machine.spot):
+            if offer.row.zone in (None, machine.zone):
+                count = min(fits(offer.spec, room), offer.left - elsewhere(offer))
+                if count > 0:
+                    room = minus(room, offer.spec, count)
+                    wanted.append((label, offer.row.job, count))
+    return wanted
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_a_machine_filled_from_the_front_gets_what_the_whole_sorted_queue_would_give(seed):
+    rng = random.Random(seed)
+    images = {"i-0": 1.0, "i-1": 1.0}
+    rows, offers = {}, Offers()
+    for label in ("host-0", "host-1", "host-2"):
+        rows[label] = []
+        for number in range(rng.randrange(12)):
+            job = spec(spot=rng.random() < 0.7, types=rng.choice([None, None, ["c16"]]),
+                       zone=rng.choice([None, None, "a", "b"]))
+            job = msgspec.structs.replace(job, id=f"{label}-{number}", cpus=rng.choice([1.0, 2.0, 5.0]),
+                                          priority=rng.choice(PRIORITIES), image=f"i-{rng.randrange(4)}")
+            row = QueueRow(job.id, 9, rng.randrange(1, 6), rng.uniform(-5.0, 30.0), 10.0, rng.choice([None, None, "a"]),
+                           rng.uniform(0.0, 8.0), rng.random() < 0.3, rng.random() < 0.2)
+            rows[label].append(Offer(label, row, job, 100.0, 4.0))
+        offers.tell(label, rows[label])
+    for _ in range(4):
+        machine = Candidate("a", "c8", rng.choice("ab"), rng.random() < 0.5,
+                            (rng.choice([0.5, 3.0, 8.0, 32.0]), rng.choice([4.0, 64.0]), 0.0), images)
+
+        def fetch_s(job):
+            return 0.0 if job.image in images else 1.0 + 7.0 * int(job.image[-1])
+
+        def elsewhere(offer):
+            return 2 if offer.young_until > 100.0 else 0
+
+        expected = brute(machine, rows, fetch_s, elsewhere)
+        got = fill(machine, offers, fetch_s, elsewhere)
+        assert [(want.home, want.job, want.count) for want in got] == expected
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -30,6 +30,12 @@
     assert play(seed, nodes=5).starts > 0
 
 
+@pytest.mark.parametrize("seed", range(7000, 7012))
+def test_rules_hold_when_many_machines_fall_together(seed):
+    """A third to nine tenths of the machines die, hang or are cut off at once, often with all controllers."""
+    assert play(seed, until=260.0, nodes=5, groups=True).starts > 0
+
+
 @pytest.mark.parametrize("seed", (100, 101))
 def test_quiet_world_completes_every_job(seed):
     world = play(seed, until=260.0, trouble=False)
@@ -214,7 +220,43 @@
     monkeypatch.setattr(Graph, "_doom", lambda self, jobs: None)
 
 
+def uncounted_grants(monkeypatch):
+    real = Job.grant
+
+    def grant(self, index, run):
+        tally, self.tally = self.tally, None
+        real(self, index, run)
+        self.tally = tally
+
+    monkeypatch.setattr(Job, "grant", grant)
+
+
+def free_room_not_forgotten(monkeypatch):
+    real = Part.on_grant
+
+    def on_grant(self, label, grant, now):
+        machine = self.machines.get(grant.machine)
+        free = machine.free if machine is not None else None
+        real(self, label, grant, now)
+        if machine is not None:
+            machine.free = free or self.free(machine)
+            machine.pending = dict(machine.pending)
+
+    monkeypatch.setattr(Part, "on_grant", on_grant)
+
+
+def machines_not_indexed(monkeypatch):
+    real = Home.on_seen
+
+    def on_seen(self, label, seen, now):
+        self.there.pop(seen.machine, None)
+        real(self, label, seen, now)
+
+    monkeypatch.setattr(Home, "on_seen", on_seen)
+
+
 @pytest.mark.parametrize("fault, rule", [
+    (uncounted_grants, "books"), (free_room_not_forgotten, "books"), (machines_not_indexed, "books"),
     (no_barrier, "ran_twice"), (absence_without_proof, "ran_twice"), (lease_cut_short, "ran_twice"),
     (no_allowance, "quota"), (anywhere, "wrong_place"), (told_before_stored, "went_back"),
     (done_too_early, "not_done"), (never_halted, "ran_cancelled"), (nobody_waits, "too_early"),
--- a/tests/world.py
+++ b/tests/world.py
@@ -34,7 +34,7 @@
     Workers,
 )
 from alderbridge.jobs import JobState, Record
-from alderbridge.node import Node
+from alderbridge.node import Node, Submission
 from alderbridge.store import JOBS, MEMBERS, ROOT, VIEW
 from alderbridge.view import Presence
 
@@ -149,6 +149,7 @@
         self.node.types = self.node.part.types = TYPES
         self.node.leader.on_types(TYPES)
         self.busy = False
+        self.rests_until = 0.0
         self.follow_busy = False
         self.rents = 0
         for step, pause in ((self.hold, 1.5), (self.follow, 0.15), (self.view, c.ROUND_S), (self.write, 0.05),
@@ -278,8 +279,11 @@
         if self.busy:
             return
         node, world = self.node, self.world
+        if world.t < self.rests_until and node.nothing_to_write():
+            return  # as the program rests
         batch = node.next_batch(world.t)
         if batch is None:
+            self.rests_until = world.t + node.next_write_in(world.t)
             return
         self.busy = True
 
@@ -317,7 +321,7 @@
     def tell_users(self) -> None:
         while self.node.news:
             item = self.node.news.popleft()
-            if not isinstance(item, str) and item.outcome == "accepted":
+            if isinstance(item, Submission) and item.outcome == "accepted":
                 self.world.accepted.add(item.job.spec.id)
 
     def round(self) -> None:
@@ -519,8 +523,11 @@
 
 class World:
     def __init__(self, seed: int, jobs: int = 14, trouble: bool = True, nodes: int = 3, pipelines: int = 0,
-                 upgrade: bool = False, coming: NextState | None = None, tight_at: float = math.inf) -> None:
-        """``upgrade``: all start as the old version, and are killed one by one to come back as the new one.
+                 upgrade: bool = False, coming: NextState | None = None, tight_at: float = math.inf,
+                 groups: bool = False) -> None:
+        """``groups``: machines die, hang and are cut off many at once, some while all controllers are down.
+
+        ``upgrade``: all start as the old version, and are killed one by one to come back as the new one.
 
         ``coming``: limits of the store that the settings name. ``tight_at``: when the store has tight ones.
         """
@@ -559,6 +566,9 @@
         if trouble:
             for _ in range(self.rng.randint(3, 7)):
                 self.after(self.rng.uniform(10.0, 130.0), self.trouble)
+        if groups:
+            for _ in range(self.rng.randint(2, 4)):
+                self.after(self.rng.uniform(20.0, 120.0), self.group_trouble)
         self.after(1.0, self.watch)
 
     def after(self, delay: float, call, *args) -> None:
@@ -737,8 +747,30 @@
         for part, machine in self.on.items():
             if self.t > self.cancelled_at.get(wire.split_task(part)[0], math.inf) + CANCEL_S:
                 raise Broken(f"ran_cancelled: {part} on {machine}")
+        for sim in self.nodes.values():
+            if sim.node is not None:
+                self.books(sim.node)
         self.after(0.25, self.watch)
 
+    @staticmethod
+    def books(node: Node) -> None:
+        """What is kept with each change, in place of counting anew for each event, is what a count would give."""
+        home, part = node.home, node.part
+        kept, there = dict(home.tally.teams), home.there
+        used = home.used()
+        for team in {*kept, *used}:
+            if any(abs(a - b) > 1e-6 for a, b in zip(kept.get(team, (0, 0)), used.get(team, (0, 0)), strict=True)):
+                raise Broken(f"books: {team} uses {used.get(team)}, kept was {kept.get(team)}")
+        for name, job in home.jobs.items():
+            if any(name not in there.get(machine, ()) for machine in job.on):
+                raise Broken(f"books: {name} has a task where the index does not know")
+        for machine in part.machines.values():
+            kept, machine.free = machine.free, None
+            free = part.free(machine)
+            known, machine.free = machine.free is not None, kept  # a job that is over is counted no longer
+            if kept is not None and known and any(abs(a - b) > 1e-6 for a, b in zip(kept, free, strict=True)):
+                raise Broken(f"books: {machine.name} has {free} free, kept was {kept}")
+
     # -- cloud
 
     def rent(self, kind, count: int) -> list[str]:
@@ -810,6 +842,26 @@
             else:
                 worker.recall_at = self.t + rng.uniform(2.0, 15.0)
 
+    def group_trouble(self) -> None:
+        """A good part of the machines at once, and with them one controller, all of them, or none."""
+        rng = self.rng
+        workers = [worker for worker in self.machines.values() if worker is not None]
+        kind, length = rng.choice(["die", "hang", "cut", "hang_in_turn"]), rng.uniform(5.0, 45.0)
+        for number, worker in enumerate(rng.sample(workers, math.ceil(len(workers) * rng.uniform(0.3, 0.9)))):
+            if kind == "die":
+                worker.kill()
+                worker.alive = False
+            elif kind == "cut":
+                worker.cut_until = self.t + length
+            else:
+                worker.hangs_until = self.t + length + (number if kind == "hang_in_turn" else 0.0)
+        victims = rng.choice([[], rng.sample(list(self.nodes.values()), 1), list(self.nodes.values())])
+        for victim in victims:
+            victim.crash()
+            self.after(rng.uniform(1.0, 6.0), self.restart, victim)
+        if rng.random() < 0.3:
+            self.store.outage(rng.uniform(2.0, 25.0))
+
     def restart(self, sim: SimNode) -> None:
         if sim.node is None:
             sim.start()
