Wake only for events: no looks every 5 and 20 ms, mesh frames written at once

Cause: a turn of a process costs far more than the pure code in it, and many did nothing: a report's answer looked every 5 ms for its grants, the writer every 20 ms for work, each mesh message woke a task for its peer, each read first asked a socket that could not have anything.

--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -26,8 +26,7 @@
 MARK_AHEAD = 256  # tasks; written as possibly started with the job, saves a write per start
 QUEUE_ROWS = 400  # jobs; waiting jobs one home tells of in a round
 
-TAKE_TRIES = 20  # looks; a beat's answer waits this often for grants it has asked for
-TAKE_PAUSE_S = 0.005  # s; between these looks: a question to a peer takes a few ms
+TAKE_WAIT_S = 0.1  # s; a report's answer waits this long for grants it has asked for: a peer takes a few ms
 
 GATHER_S = 4.0  # s; so long an idle machine leaves tasks to busy ones with room: a report interval and a bit
 
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -47,6 +47,8 @@
         self.ask_count = 0
         self.cloud_budget = Budget(shared.cloud.rps * c.BUDGET_SHARE, shared.cloud.rps * c.BUDGET_SHARE, now())
         self.store_bad_until = 0.0
+        self.work = curio.Event()  # set when there may be something to write, while ``writer_waits``
+        self.writer_waits = False
         self.rent_names = 0
         self.server = Server(self.handle, int(shared.limits.max_sockets * c.SOCKET_RESERVE))
 
@@ -58,15 +60,20 @@
     async def after(self) -> None:
         """Move what the node has left for others."""
         node = self.node
+        if self.writer_waits and not node.nothing_to_write():
+            await self.work.set()
+        while node.questions:
+            label, ask = node.questions.popleft()
+            if ask.what == "status":
+                self.answer_status(label, ask)
+            else:
+                await curio.spawn(self.answer_ask, label, ask, daemon=True)
         renewals, node.renewals = node.renewals, []
         for label in renewals:
             self.mesh.renew(label)
         outgoing, node.outgoing = node.outgoing, []
         for label, frame in outgoing:
             self.mesh.put(label, frame)
-        while node.questions:
-            label, ask = node.questions.popleft()
-            await curio.spawn(self.answer_ask, label, ask, daemon=True)
         while node.replies:
             reply = node.replies.popleft()
             waiting = self.asks.get(reply.ask)
@@ -85,6 +92,11 @@
         try:
             await curio.timeout_after(timeout_s, event.wait)
         except curio.TaskTimeout:
+            waiting = self.waiters.get(what, [])
+            if event in waiting:
+                waiting.remove(event)
+            if not waiting:
+                self.waiters.pop(what, None)
             return False
         return True
 
@@ -202,6 +214,7 @@
             await curio.sleep(c.WRITER_PAUSE_S)
             batch = self.node.next_batch(now())
             if batch is None:
+                await self.wait_for_work()
                 continue
             try:
                 done = await self.store.commit(batch.conditions, batch.puts, batch.drops)
@@ -228,6 +241,18 @@
                 log.info("records state=unsure cause=%s", error)
                 await curio.sleep(c.ROUND_S)
 
+    async def wait_for_work(self) -> None:
+        """Until there may be something to write: looking again and again costs more than all the writing."""
+        pause = self.node.next_write_in(now())
+        if pause > c.WRITER_PAUSE_S and self.node.nothing_to_write():
+            self.writer_waits = True
+            try:
+                await curio.timeout_after(pause - c.WRITER_PAUSE_S, self.work.wait)
+            except curio.TaskTimeout:
+                pass
+            self.writer_waits = False
+            self.work.clear()
+
     async def settle_conflict(self, batch: Batch, failed: list[str]) -> None:
         """Something else is in the store: read it and decide anew."""
         log.info("records state=conflict failed=%s", failed)
@@ -376,10 +401,8 @@
         await self.after()
         if machine is None:
             return later("not the newest report")
-        for _ in range(c.TAKE_TRIES):  # other homes answer within a few ms
-            if not machine.reserved:
-                break
-            await curio.sleep(c.TAKE_PAUSE_S)
+        if machine.reserved:  # other homes answer within a few ms
+            await self.wait_for(machine, c.TAKE_WAIT_S)
         if mandate != self.membership.mandate or not self.membership.may_act(now()):
             return later("not entitled")
         return 200, wire.beat_answer(mandate, node.part.orders(machine)), []
@@ -407,6 +430,7 @@
         submission = node.submit(spec, now(), time.time())
         if submission is None:
             return _too_long()
+        await self.after()
         if not submission.outcome and not await self.wait_for(submission, c.SUBMIT_WAIT_S):
             return later("the state service is slow")
         if submission.outcome == "refused":
@@ -505,6 +529,7 @@
         if state is None:
             return later("not entitled")
         if not state:
+            await self.after()
             if not await self.wait_for(job, c.SUBMIT_WAIT_S):
                 return later("the state service is slow")
             state = self.node.replica.ended[job].value
@@ -529,12 +554,14 @@
             return None
         return reply.status, reply.body, []
 
+    def answer_status(self, label: str, ask: m.Ask) -> None:
+        """From memory, so nothing has to wait for it."""
+        state = self.node.state_here(ask.job, now())
+        status, body = (503, b"") if state is None else (200, wire.job_status(ask.job, *state))
+        self.node.tell(label, m.Reply(ask.ask, status, body))
+
     async def answer_ask(self, label: str, ask: m.Ask) -> None:
-        if ask.what == "withdraw":
-            status, body, _ = await self.withdraw_here(ask.job)
-        else:
-            state = self.node.state_here(ask.job, now())
-            status, body = (503, b"") if state is None else (200, wire.job_status(ask.job, *state))
+        status, body, _ = await self.withdraw_here(ask.job)
         self.node.tell(label, m.Reply(ask.ask, status, body))
         await self.after()
 
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -14,11 +14,11 @@
 
 import curio
 import msgspec
-from curio import socket
 
 from . import __version__
 from . import constants as c
 from .config import address
+from .net import connect, read
 
 log = logging.getLogger("mesh")
 now = time.monotonic
@@ -181,18 +181,44 @@
 _decode = msgspec.msgpack.Decoder(Frame).decode
 
 
+class _Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A frame whose body is encoded already; the same bytes."""
+
+    version: str
+    sender: str
+    mandate: int
+    seq: int
+    ack: int
+    body: msgspec.Raw
+
+
+class Encoder:
+    """Frames as they go over the wire. What goes to several peers, one after the other, is encoded once."""
+
+    def __init__(self) -> None:
+        self.body: Message | None = None
+        self.raw = msgspec.Raw(b"")
+
+    def __call__(self, frame: Frame) -> bytes:
+        if frame.body is not self.body:
+            self.body, self.raw = frame.body, msgspec.Raw(_encode(frame.body))
+        data = _encode(_Envelope(frame.version, frame.sender, frame.mandate, frame.seq, frame.ack, self.raw))
+        return _HEAD.pack(len(data)) + data
+
+
 def split_frames(buffer: bytearray) -> Iterator[Frame]:
     """The whole frames at the front of ``buffer``, which keeps the rest."""
-    at = 0
+    at, length = 0, len(buffer)
     try:
-        while len(buffer) - at >= _HEAD.size:
-            (size,) = _HEAD.unpack_from(buffer, at)
-            if size > c.MAX_FRAME:
-                raise msgspec.DecodeError(f"frame of {size} bytes")
-            if len(buffer) - at - _HEAD.size < size:
-                return
-            at += _HEAD.size + size
-            yield _decode(bytes(buffer[at - size:at]))
+        with memoryview(buffer) as view:
+            while length - at >= _HEAD.size:
+                (size,) = _HEAD.unpack_from(view, at)
+                if size > c.MAX_FRAME:
+                    raise msgspec.DecodeError(f"frame of {size} bytes")
+                if length - at - _HEAD.size < size:
+                    return
+                at += _HEAD.size + size
+                yield _decode(view[at - size:at])
     finally:
         del buffer[:at]
 
@@ -273,6 +299,9 @@
         self.deliver = deliver
         self.queues: dict[str, deque[bytes]] = {label: deque() for label in peers}
         self.wake = {label: curio.Event() for label in peers}
+        self.encode = Encoder()
+        self.open: dict[str, curio.io.Socket] = {}  # the sockets of connected peers
+        self.writing: set[str] = set()  # peers whose rest is being written by ``send_to``
         self.connected: set[str] = set()
         self.renewing: set[str] = set()
         self.complained: set[str] = set()
@@ -283,8 +312,7 @@
         queue = self.queues[label]
         if label not in self.connected or len(queue) > c.MESH_BACKLOG:
             return
-        data = _encode(frame)
-        queue.append(_HEAD.pack(len(data)) + data)
+        queue.append(self.encode(frame))
 
     def renew(self, label: str) -> None:
         """Close the connection to a peer, which ``send_to`` opens anew."""
@@ -292,7 +320,20 @@
             self.renewing.add(label)
 
     async def flush(self) -> None:
+        """Write what is queued, at once where the socket takes it: no task has to be woken for that."""
         for label, queue in self.queues.items():
+            if queue and label in self.open and label not in self.writing:
+                data = b"".join(queue)
+                queue.clear()
+                try:
+                    sent = self.open[label]._socket_send(data)  # curio's bound method of the plain socket
+                except BlockingIOError:
+                    sent = 0
+                except OSError:
+                    self.renew(label)
+                    sent = len(data)  # lost with its connection; what must arrive is sent again
+                if sent < len(data):
+                    queue.appendleft(data[sent:])
             if queue or label in self.renewing:
                 await self.wake[label].set()
 
@@ -313,7 +354,7 @@
         try:
             while True:
                 self.heard[task] = now()
-                data = await client.recv(262144)
+                data = await read(client, 262144)
                 if not data:
                     return
                 buffer += data
@@ -335,11 +376,11 @@
         while True:
             sock = None
             try:
-                sock = await curio.timeout_after(c.CONNECT_S, curio.open_connection, *self.peers[label])
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock = await curio.timeout_after(c.CONNECT_S, connect, *self.peers[label])
                 self.queues[label].clear()
                 self.renewing.discard(label)
                 self.connected.add(label)
+                self.open[label] = sock
                 log.info("mesh peer=%s state=connected", label)
                 while True:
                     await self.wake[label].wait()
@@ -348,13 +389,20 @@
                         log.info("mesh peer=%s state=renewed cause=no acknowledgement", label)
                         break
                     queue = self.queues[label]
+                    if not queue:
+                        continue
                     data = b"".join(queue)
                     queue.clear()
-                    await curio.timeout_after(c.MESH_SILENCE_S, sock.sendall, data)
+                    self.writing.add(label)
+                    try:
+                        await curio.timeout_after(c.MESH_SILENCE_S, sock.sendall, data)
+                    finally:
+                        self.writing.discard(label)
             except (OSError, curio.TaskTimeout) as error:
                 log.debug("mesh peer=%s state=lost cause=%r", label, error)
             finally:
                 self.connected.discard(label)
+                self.open.pop(label, None)
                 if sock is not None:
                     await sock.close()
             await curio.sleep(c.MESH_RETRY_S)
--- a/alderbridge/net.py
+++ b/alderbridge/net.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import time
 from collections.abc import Awaitable, Callable
@@ -9,6 +10,7 @@
 import curio
 import h11
 from curio import socket
+from curio.traps import _read_wait
 
 from . import constants as c
 
@@ -23,6 +25,24 @@
     """No response: the request may have been carried out, or may yet be."""
 
 
+async def read(sock: curio.io.Socket, most: int) -> bytes:
+    """Wait, then read: for where nothing can have come yet, which spares the call that says so."""
+    await _read_wait(sock._fileno)
+    return await sock.recv(most)
+
+
+async def connect(host: str, port: int) -> curio.io.Socket:
+    """A TCP connection. The platform gives numbers, which need no thread to look them up."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        await sock.connect((host, port))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
 class Budget:
     """Token bucket; time is an argument."""
 
@@ -51,6 +71,16 @@
         self.level -= amount
 
 
+_END = h11.EndOfMessage()
+
+
+@functools.lru_cache(maxsize=4096)
+def _head(status: int, length: int, extra: tuple[tuple[str, str], ...]) -> h11.Response:
+    """Heads are checked and put in form once for each that differs; h11's events never change."""
+    return h11.Response(status_code=status, headers=[("Content-Type", "application/json"),
+                                                     ("Content-Length", str(length)), *extra])
+
+
 class Connection:
     """One client's connection, and until when it may stay as it is."""
 
@@ -62,14 +92,17 @@
     def allow(self, seconds: float) -> None:
         self.deadline = now() + seconds
 
-    async def event(self) -> object:
+    async def event(self, fresh: bool = False) -> object:
+        """``fresh``: a request is to come, and nothing of it has been asked for yet."""
+        if fresh and not self.http.trailing_data[0]:
+            self.http.receive_data(await read(self.client, 65536))
         while True:
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
                 return event
             if self.http.they_are_waiting_for_100_continue:
                 await self.client.sendall(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
-            self.http.receive_data(await self.client.recv(65536))
+            self.http.receive_data(await read(self.client, 65536))
 
     async def body(self) -> bytes | None:
         """None where it is larger than allowed."""
@@ -88,12 +121,9 @@
 
     async def respond(self, answer: Answer, close: bool) -> None:
         status, body, extra = answer
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body))), *extra]
-        if close:
-            headers.append(("Connection", "close"))
         send = self.http.send
-        data = send(h11.Response(status_code=status, headers=headers))
-        data += send(h11.Data(data=body)) + send(h11.EndOfMessage())
+        data = send(_head(status, len(body), (*extra, ("Connection", "close")) if close else tuple(extra)))
+        data += send(h11.Data(data=body)) + send(_END)
         self.allow(c.REQUEST_S)
         await self.client.sendall(data)
 
@@ -135,7 +165,7 @@
         while True:
             try:
                 connection.allow(c.IDLE_S)
-                request = await connection.event()
+                request = await connection.event(fresh=True)
                 if not isinstance(request, h11.Request):
                     return
                 connection.allow(c.REQUEST_S)
@@ -182,11 +212,10 @@
                 if method != "GET":  # it may have been carried out: the caller decides
                     raise
         try:
-            sock = await curio.timeout_after(c.CONNECT_S, curio.open_connection, self.host, self.port)
+            sock = await curio.timeout_after(c.CONNECT_S, connect, self.host, self.port)
         except curio.TaskTimeout:
             # Left to escape into the outer timeout it would be an error of its own, met by nobody.
             raise TimeoutError("connect") from None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return await self._exchange(sock, h11.Connection(h11.CLIENT), method, target, body)
 
     async def _exchange(self, sock: curio.io.Socket, conn: h11.Connection,
@@ -200,7 +229,7 @@
             while True:
                 event = conn.next_event()
                 if event is h11.NEED_DATA:
-                    conn.receive_data(await sock.recv(262144))
+                    conn.receive_data(await read(sock, 262144))
                 elif isinstance(event, h11.Response):
                     status = event.status_code
                 elif isinstance(event, h11.Data):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -78,3 +78,45 @@
     monkeypatch.setattr(curio, "open_connection", hang)
     with pytest.raises(net.Unanswered):
         curio.run(net.Client("127.0.0.1", 1).request, "GET", "/kv")
+
+
+def test_a_body_for_several_peers_is_encoded_once_into_the_same_bytes():
+    encode = m.Encoder()
+    body = m.Drain(["n-1", "n-2"])
+    for frame in (m.Frame("v", "host-1", 7, 0, 3, body), m.Frame("v", "host-1", 7, 9, 4, body), *frames(3)):
+        assert encode(frame) == wired(frame)
+
+
+def test_what_a_full_socket_does_not_take_is_written_later_in_order():
+    """Written past a task's wake-up, nothing may be lost or swapped when the socket is full."""
+    sent = [m.Frame("v", "host-0", 7, seq, 0, m.Drain(["n" * 100_000])) for seq in range(1, 60)]
+
+    async def play():
+        got = []
+
+        async def deliver(frames):
+            got.extend(frame.seq for frame in frames)
+
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        there = m.Mesh("127.0.0.1:1", {}, deliver)
+        here = m.Mesh("127.0.0.1:1", {"peer": f"127.0.0.1:{port}"}, deliver)
+        sender = await curio.spawn(here.send_to, "peer")
+        client, _ = await listener.accept()
+        while "peer" not in here.open:
+            await curio.sleep(0.01)
+        for frame in sent:
+            here.put("peer", frame)
+            await here.flush()
+        reader = await curio.spawn(there._incoming, client, None)
+        for _ in range(500):
+            if len(got) == len(sent):
+                break
+            await curio.sleep(0.01)
+        await sender.cancel()
+        await reader.cancel()
+        await client.close()
+        await listener.close()
+        return got
+
+    assert curio.run(play) == [frame.seq for frame in sent]
