--- a/alderbridge/cli.py
+++ b/alderbridge/cli.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import logging
 import os
 import sys
 from collections.abc import Sequence
 
 from . import __version__
+from . import constants as c
 from .config import DEFAULT_INI, ConfigError, Platform, Tuning, load_platform, load_tuning
 
 _LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -49,6 +51,8 @@
 
     from .controller import Controller
 
+    gc.freeze()  # modules and classes stay for good
+    gc.set_threshold(*c.GC_THRESHOLDS)
     logging.basicConfig(stream=sys.stderr, level=_LEVELS[level], format=tuning.log_format)
     curio.run(Controller(platform, tuning).run)
     return 0
--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -14,6 +14,7 @@
 import argparse
 import collections
 import cProfile
+import gc
 import heapq
 import itertools
 import json
@@ -299,6 +300,8 @@
     parser.add_argument("--profile", metavar="PART", help="where one part, or 'all', spends its time")
     args = parser.parse_args()
     logging.basicConfig(level=logging.ERROR)
+    gc.freeze()  # as the program does
+    gc.set_threshold(*c.GC_THRESHOLDS)
     results = {}
     for size in args.machines:
         bench = Bench(size, args.load, args.seed, args.profile)
