--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -14,6 +14,7 @@
 import argparse
 import collections
 import cProfile
+import gc
 import heapq
 import itertools
 import json
@@ -154,7 +155,7 @@
                 self.at(offset + 0.03 * LABELS.index(label), self.every, pause, step, label)
         self.at(1.0, self.every, c.LEADER_ROUND_S, self.lead, LABELS[0])
         self.workers: list[Worker] = []
-        for _ in range(machines // 2):
+        for _ in range(machines * 9 // 10):  # as in a steady hour: the same starts a machine at each size
             self.add_machine(self.rng.random() < 0.7, self.rng.choice(ZONES), self.rng.uniform(0.5, 3.5))
         for name, *_ in CLASSES:
             self.at(self.rng.uniform(1.0, 2.0), self.submit, name)
@@ -299,6 +300,8 @@
     parser.add_argument("--profile", metavar="PART", help="where one part, or 'all', spends its time")
     args = parser.parse_args()
     logging.basicConfig(level=logging.ERROR)
+    gc.freeze()  # as the program does
+    gc.set_threshold(*c.GC_THRESHOLDS)
     results = {}
     for size in args.machines:
         bench = Bench(size, args.load, args.seed, args.profile)
