--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -28,9 +28,6 @@
 
 TAKE_WAIT_S = 0.1  # s; a report's answer waits this long for grants it has asked for: a peer takes a few ms
 
-ASK_WORKERS = 16  # workers asked for their acknowledgement at one time: bounds sockets, and work at once
-ASK_WORKER_S = 1.5  # s; a worker that does not answer by then is waited for: it may hang, or be cut off
-
 GATHER_S = 4.0  # s; so long an idle machine leaves tasks to busy ones with room: a report interval and a bit
 
 # --- network ---------------------------------------------------------------
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -16,7 +16,7 @@
 from .config import Platform, Tuning, address
 from .jobs import JobState, Record
 from .leader import Decision
-from .net import Answer, Budget, Client, Server, Unanswered
+from .net import Answer, Budget, Server, Unanswered
 from .node import Batch, Node
 from .store import JOBS, MEMBERS, ROOT, TYPES, VIEW, HoldLost, Refused, Store, TooFast, TooLarge, TooOld
 from .view import Presence, Standing
@@ -47,7 +47,6 @@
         self.ask_count = 0
         self.cloud_budget = Budget(shared.cloud.rps * c.BUDGET_SHARE, shared.cloud.rps * c.BUDGET_SHARE, now())
         self.store_bad_until = 0.0
-        self.asking = 0  # tasks that ask workers for their acknowledgement
         self.work = curio.Event()  # set when there may be something to write, while ``writer_waits``
         self.writer_waits = False
         self.rent_names = 0
@@ -179,7 +178,6 @@
             self.membership.followed(sent)
             self.node.apply(changes.log, now(), time.time())
             self.node.replica.epoch = max(self.node.replica.epoch, changes.epoch)
-            await self.ask_workers()
             await curio.sleep(c.FOLLOW_PAUSE_S)
 
     async def load_replica(self) -> None:
@@ -194,39 +192,6 @@
         self.membership.followed(sent)
         self.node.load(rows, changes.log, changes.epoch, now(), time.time())
 
-    # -- acknowledgements
-
-    async def ask_workers(self) -> None:
-        """After a new view: ask for what the machines' next reports would say only seconds later."""
-        await self.after()
-        while self.node.part.to_ask and self.asking < c.ASK_WORKERS:
-            self.asking += 1
-            await curio.spawn(self.ask_in_turn, daemon=True)
-
-    async def ask_in_turn(self) -> None:
-        try:
-            while self.membership.may_act(now()) and (machine := self.node.part.next_to_ask()) is not None:
-                await self.ask_worker(*machine)
-        finally:
-            self.asking -= 1
-
-    async def ask_worker(self, name: str, worker: str, tenure: int) -> None:
-        mandate = self.membership.mandate
-        try:
-            client = Client(*address(worker), keep=0)
-            for _ in range(2):
-                status, body = await client.request("POST", "/commands", wire.acknowledge(mandate, tenure),
-                                                    c.ASK_WORKER_S)
-                beat = wire.parse_beat(body)
-                if status != 409 or beat.tenure == tenure:
-                    break
-                tenure = beat.tenure
-            if status == 200 and beat.machine == name and mandate == self.membership.mandate:
-                self.node.asked(beat, now())
-                await self.after()
-        except (Unanswered, wire.Malformed, ValueError) as error:
-            log.debug("machine=%s state=not asked cause=%s", name, error)
-
     async def keep_view(self) -> None:
         while True:
             await curio.sleep(c.ROUND_S)
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -13,8 +13,8 @@
 
 import logging
 import math
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Mapping
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import msgspec
@@ -56,7 +56,7 @@
     def __init__(self, name: str, now: float) -> None:
         self.name = name
         self.state = MachineState.EXPECTED
-        self.type = self.zone = self.address = ""
+        self.type = self.zone = ""
         self.spot = False
         self.recorded = False  # the store holds its record; no ``run`` before that
         self.acked = False  # a report of it has borne this view's mandate
@@ -131,7 +131,6 @@
         self.returned: set[str] = set()  # confirmed gone; late reports mean nothing
         self.doomed: set[str] = set()  # wanted back before they ever reported
         self.to_record: list[str] = []
-        self.to_ask: deque[str] = deque()  # machines to be asked for their acknowledgement, likeliest to answer first
         self.to_drop: list[str] = []  # nothing is on them: no new view need wait for them
         self.mandate = 0
         self.members: list[str] = []
@@ -149,9 +148,9 @@
         for machine in self.machines.values():
             machine.free = None
 
-    def enter(self, mandate: int, members: list[str], machines: Mapping[str, str] | Iterable[str], now: float,
+    def enter(self, mandate: int, members: list[str], machines: Iterable[str], now: float,
               continued: bool = False) -> None:
-        """A new view: these recorded machines (with their addresses, where known) are ours; all must acknowledge.
+        """A new view: these recorded machines are ours; all must acknowledge.
 
         ``continued``: this same process took part in the view just before, so what
         was its own then has been answered by nobody else in between.
@@ -159,40 +158,17 @@
         old, self.machines = self.machines, {}
         self.mandate, self.members, self.settled_at = mandate, members, None
         self.to_record, self.to_drop = [], []
-        addresses = machines if isinstance(machines, Mapping) else {}
         for name in machines:
             machine = self.machines[name] = Machine(name, now)
             machine.recorded = True
-            machine.address = addresses.get(name, "")
             if name in old:
                 before = old[name]
                 machine.type, machine.zone, machine.spot = before.type, before.zone, before.spot
-                machine.address = before.address or machine.address
                 machine.images, machine.news, machine.idle_since = before.images, before.news, before.idle_since
                 if before.state is MachineState.DRAINING:
                     machine.drain()
                 if continued and before.sole_since is not None:
                     machine.sole_since, machine.heard_at = before.sole_since, before.heard_at
-        heard = {name: old[name].heard_at for name in self.machines if name in old}
-        self.to_ask = deque(sorted((name for name, machine in self.machines.items() if machine.address),
-                                   key=lambda name: (-heard.get(name, 0.0), name)))
-
-    def next_to_ask(self) -> tuple[str, str, int] | None:
-        """Name, address and likeliest tenure of a machine to be asked for its acknowledgement; each is asked once."""
-        while self.to_ask:
-            machine = self.machines.get(self.to_ask.popleft())
-            if machine is not None and not machine.proven:
-                return machine.name, machine.address, max(1, machine.news[0])
-        return None
-
-    def on_asked(self, beat: Beat, now: float) -> None:
-        """The answer to an empty ``/commands``: proof only as the first acknowledgement of this view.
-
-        Later, a response with orders may be on its way to the worker, and this report know nothing of it.
-        """
-        machine = self.machines.get(beat.machine)
-        if machine is not None and not machine.proven and beat.mandate >= self.mandate:
-            self.on_beat(beat, now)
 
     def settle(self, now: float) -> None:
         """Every member acts under this view: earlier answers are all older than now."""
@@ -218,7 +194,6 @@
             return None
         machine.news, machine.heard_at = news, now
         machine.type, machine.zone, machine.spot = beat.type, beat.zone, beat.spot
-        machine.address = beat.address
         if beat.mandate < self.mandate:
             return machine  # the answer brings the mandate; only a later report proves anything
         first = not machine.acked or machine.state is MachineState.LAPSED
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -252,7 +252,7 @@
         self.now, self.wall = now, wall - now
         newer = False
         self.incarnation = 0  # views may have passed unseen: nothing known under them holds any more
-        self.replica.machines, self.replica.addresses = {}, {}
+        self.replica.machines = {}
         for row in sorted(rows, key=lambda row: not row.key.startswith(LISTS)):  # before the records that name them
             newer = self.replica.apply(wire.Change(put=row.key, data=row.data, stamp=row.stamp)) or newer
         for change in changes:
@@ -296,8 +296,7 @@
                     job.stamp = max(job.stamp, stamp)
                     jobs[name] = job
         self.home.enter(mandate, jobs, self.replica.machines if inside else ())
-        mine = {name: self.replica.addresses.get(name, "") for name in self.replica.machines
-                if inside and self.membership.part_of(name) == self.me}
+        mine = [name for name in self.replica.machines if self.membership.part_of(name) == self.me] if inside else []
         self.part.enter(mandate, members if inside else [], mine, now, continued)
         self.leader.enter(members, now)
         self.dropping = [name for name in self.dropping if name in self.part.returned]
@@ -362,7 +361,7 @@
         for name in [name for name in self.part.to_record if name not in self.dropping][:plain]:
             batch.machines.append(name)
             batch.conditions[MACHINES + name] = 0
-            batch.puts[MACHINES + name] = wire.MachineRecord(self.part.machines[name].address)
+            batch.puts[MACHINES + name] = {}
         urgent = len(queue)
         queue += [job for rank, job in due if rank >= 2.0]
         size = 0
@@ -492,7 +491,6 @@
 
     def _dropped(self, name: str) -> None:
         self.replica.machines.pop(name, None)
-        self.replica.addresses.pop(name, None)
         self.dropping = [other for other in self.dropping if other != name]
 
     def reread(self, batch: Batch, key: str, row: wire.Row | None, now: float) -> None:
@@ -592,13 +590,6 @@
             self.place(machine, now)
         return machine
 
-    def asked(self, beat: wire.Beat, now: float) -> None:
-        """What a machine of this part answered to an empty ``/commands`` under this view."""
-        self.now = now
-        if self.may_act():
-            self.part.on_asked(beat, now)
-            self.pump()
-
     def place(self, machine: Machine, now: float) -> None:
         """Ask homes for tasks that fit this machine."""
         candidate = self.part.candidate(machine, now)
--- a/alderbridge/replica.py
+++ b/alderbridge/replica.py
@@ -15,13 +15,12 @@
 from .jobs import JobState, Record
 from .store import JOBS, LISTS, MACHINES, MEMBERS, TYPES, VIEW
 from .view import Membership, Presence, View
-from .wire import Change, Flavours, JobSpec, MachineRecord, MachineType
+from .wire import Change, Flavours, JobSpec, MachineType
 
 _record = msgspec.json.Decoder(Record)
 _view = msgspec.json.Decoder(View)
 _presence = msgspec.json.Decoder(Presence)
 _flavours = msgspec.json.Decoder(Flavours)
-_machine = msgspec.json.Decoder(MachineRecord)
 _list = msgspec.json.Decoder(list[str])
 
 
@@ -42,7 +41,6 @@
         self.done_at: dict[str, float] = {}  # time of day, where the record says it
         self.lists: dict[str, list[str]] = {}  # key -> what a job waits for, beside its record
         self.machines: dict[str, int] = {}  # recorded machines and their stamps
-        self.addresses: dict[str, str] = {}  # of these, where the record says it
         self.types: dict[str, MachineType] = {}  # as the cloud last told them: it may be out of reach
         self.types_stamp = 0
         self.epoch = 0
@@ -67,9 +65,7 @@
             if gone:
                 if self.machines.get(name, 0) < change.stamp:
                     self.machines.pop(name, None)
-                    self.addresses.pop(name, None)
             else:
-                self.addresses[name] = _machine.decode(change.data).address
                 self.machines[name] = max(change.stamp, self.machines.get(name, 0))
         elif key.startswith(MEMBERS):
             presence = None if gone else _presence.decode(change.data)
--- a/tests/world.py
+++ b/tests/world.py
@@ -326,29 +326,6 @@
 
     def round(self) -> None:
         self.node.round(self.world.t)
-        self.ask()
-
-    def ask(self) -> None:
-        """Empty ``/commands`` to the machines of a new view; some are held back, and arrive late."""
-        node, world, life = self.node, self.world, self.life
-        while node.may_act() and (machine := node.part.next_to_ask()) is not None:
-            name, _, tenure = machine
-            mandate = node.membership.mandate
-
-            def answered(raw: bytes, mandate: int = mandate) -> None:
-                if life == self.life and mandate == node.membership.mandate:
-                    node.asked(wire.parse_beat(raw), world.t)
-                    self.flush()
-
-            def arrive(name: str = name, mandate: int = mandate, tenure: int = tenure, reply=answered) -> None:
-                worker = world.machines.get(name)
-                if worker is not None and worker.alive:
-                    worker.command(mandate, tenure, reply)
-
-            cut = world.t < self.cut_workers_until
-            if not cut or world.rng.random() < 0.5:
-                world.after(world.rng.uniform(1.0, 30.0) if cut or world.rng.random() < 0.1
-                            else world.rng.uniform(0.001, 0.3), arrive)
 
     def lead(self) -> None:
         node, world = self.node, self.world
@@ -476,7 +453,12 @@
         self.counter += 1
         self.in_flight += 1
         number, tenure, sent = self.in_flight, self.tenure, world.t
-        raw = self.report()
+        beat = {"host": self.name, "address": "x", "flavour": self.kind.type, "site": self.kind.zone,
+                "standby": self.kind.spot, "tenure": self.tenure, "counter": self.counter, "mandate": self.mandate,
+                "recall_s": None if self.recall_at is None else max(0.0, self.recall_at - world.t),
+                "parts": [{"part": p, "try": k.attempt, "status": k.status, "cause": k.cause}
+                          for p, k in self.tasks.items()]}
+        raw = json.dumps(beat).encode()
 
         def reply(status: int, body: bytes) -> None:
             if world.t >= self.cut_until:
@@ -491,29 +473,6 @@
             world.after(world.rng.uniform(1.0, 40.0), arrive)  # held back, and delivered late
         world.after(4.0, self.timeout, number)
 
-    def report(self) -> bytes:
-        world = self.world
-        beat = {"host": self.name, "address": "x", "flavour": self.kind.type, "site": self.kind.zone,
-                "standby": self.kind.spot, "tenure": self.tenure, "counter": self.counter, "mandate": self.mandate,
-                "recall_s": None if self.recall_at is None else max(0.0, self.recall_at - world.t),
-                "parts": [{"part": p, "try": k.attempt, "status": k.status, "cause": k.cause}
-                          for p, k in self.tasks.items()]}
-        return json.dumps(beat).encode()
-
-    def command(self, mandate: int, tenure: int, reply) -> None:
-        """An empty ``/commands``: carried out late where the machine hangs; it does not renew the lease."""
-        world = self.world
-        if world.t < max(self.hangs_until, self.cut_until):
-            world.after(max(self.hangs_until, self.cut_until) - world.t + 0.001, self.command, mandate, tenure, reply)
-            return
-        self.tick()
-        if not self.alive or tenure != self.tenure or mandate < self.mandate:
-            return
-        self.mandate = mandate
-        self.counter += 1
-        world.after(world.rng.uniform(0.001, 0.01) if world.rng.random() < 0.8 else world.rng.uniform(0.1, 5.0), reply,
-                    self.report())
-
     def timeout(self, number: int) -> None:
         if number == self.in_flight:
             self.in_flight += 1  # whatever comes now is dropped
