A run on a machine whose record went with the older view is free

Cause: a part that tells of a lapse drops the machine's record at once; when the view changed before the home had heard, no part of the new view had the machine and nobody told the home again: the job hung for ever. Change: on a new view a home frees runs on machines that are not recorded; argued in the incident.

--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -385,7 +385,10 @@
         """A new view: ``jobs`` is all this home serves, ``machines`` all recorded ones.
 
         Runs are kept; what their machine's part may have lost is settled when the
-        machine acknowledges the new mandate.
+        machine acknowledges the new mandate. A run whose machine is not recorded any more
+        is free: the record goes only after a lapse or a confirmed return. Its part's word
+        of that may have been lost with the older view, and nobody would repeat it: such
+        jobs hung for ever (docs/incidents/zone-lost-proof.md).
         """
         self.mandate = mandate
         self.settled = False
@@ -399,8 +402,10 @@
         self.usage.allowed = {}
         self.allots = 0
         for job in jobs.values():
-            for run in job.runs.values():
+            for index, run in list(job.runs.items()):
                 run.seq = 0
+                if run.machine not in self.barrier:
+                    job.free(index)
         if not self.barrier:
             self._lift()
 
