--- a/tools/bench_fall.py
+++ b/tools/bench_fall.py
@@ -16,6 +16,7 @@
 import gc
 import json
 import logging
+import random
 import sys
 import time
 from pathlib import Path
@@ -42,6 +43,7 @@
         self.down_from = self.down_until = -1.0
         self.permits = 100
         self.orders: dict[str, collections.Counter] = collections.defaultdict(collections.Counter)  # verb -> second
+        self.users = random.Random(seed)  # so that what is asked for does not hang on what happens
         self.lost = self.again = self.rented = 0
         self.ran: dict[str, base.Worker] = {}  # task -> machine it runs on
         self.ended: set[str] = set()
@@ -80,6 +82,11 @@
         else:
             self.at(self.now + 0.1, self.follow, label)
 
+    def submit(self, name: str, again: bool = True) -> None:
+        self.rng, others = self.users, self.rng
+        super().submit(name, again)
+        self.rng = others
+
     def hand_in(self, label: str, spec: wire.JobSpec) -> None:
         """Users try again while nobody takes it."""
         if self.nodes[label] is not None and self.nodes[label].may_act():
@@ -252,7 +259,7 @@
                     self.again += 1  # a broken rule: it runs elsewhere
                 self.ran[part] = worker
                 self.starts_at.append(self.now)
-                worker.tasks[part] = [order["try"], "running", self.now + self.rng.uniform(10.0, 40.0)]
+                worker.tasks[part] = [order["try"], "running", self.now + random.Random(part).uniform(10.0, 40.0)]
         self.at(self.now + (0.5 if newer or orders else 3.0 * self.rng.uniform(0.9, 1.1)), self.report, worker)
 
 
