--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -234,6 +234,8 @@
     status, answer, _ = service.call("POST", "/agent/beat", beat)
     assert status == 200 and answer["orders"] == [] and answer["mandate"] > 0
     assert service.call("POST", "/agent/beat", beat)[0] == 503  # not newer than the last
+    ahead = {**beat, "counter": 2, "mandate": answer["mandate"] + 1}
+    assert service.call("POST", "/agent/beat", ahead)[0] == 503  # a 200 would be dropped, and hold the worker here
     for counter in range(2, 60):
         orders = service.call("POST", "/agent/beat", {**beat, "counter": counter,
                                                       "mandate": answer["mandate"]})[1]["orders"]
