While an older version takes part, nobody acts for longer than it believes

Cause, found in review: versions before generation 3 take a view for settled 12 s after it; a member of this one, cut off from the store, could act for 20 s and renew leases that the older one already held for lapsed: a task could have run twice during an upgrade. Measured: a unit test fails without it; nothing changes where all run the same version.

--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -82,8 +82,9 @@
         self.tuning, self.shared = tuning, shared
         self.labels = [self.me, *(peer.label for peer in platform.peers)]
         lease = shared.workers.lease_s
-        ttl = min(max(c.HOLD_TTL_S, c.OUTLAST_S - lease), shared.workers.cancel_s - lease - c.CANCEL_SLACK_S)
-        self.membership = Membership(self.me, ttl)
+        most = shared.workers.cancel_s - lease - c.CANCEL_SLACK_S
+        ttl = min(max(c.HOLD_TTL_S, c.OUTLAST_S - lease), most)
+        self.membership = Membership(self.me, ttl, min(c.HOLD_TTL_S, most))
         stretches = [objective.times or 1.0 for objective in shared.objectives if objective.kind == "deadline"]
         self.graph = Graph(self.run_time, stretches)
         self.replica = Replica(self.membership, self.graph)
--- a/alderbridge/view.py
+++ b/alderbridge/view.py
@@ -61,9 +61,14 @@
 class Membership:
     """The newest view this process knows, and its own part in it."""
 
-    def __init__(self, me: str, ttl_s: float) -> None:
+    def __init__(self, me: str, ttl_s: float, older_s: float | None = None) -> None:
+        """``older_s``: the ttl that versions before ``RECOVERY`` count with, in s; None: the same."""
         self.me = me
         self.hold = Hold(ttl_s)
+        # An older member takes the view for settled after its own, shorter ttl: while one takes part, or may,
+        # nobody acts for longer than that.
+        self.less_s = max(0.0, ttl_s - (ttl_s if older_s is None else older_s))
+        self.alike = False  # all members run ``RECOVERY`` or newer
         self.view = NO_VIEW
         self.mandate = 0
         self.present: dict[str, tuple[int, int]] = {}  # label -> incarnation, stamp
@@ -86,6 +91,7 @@
         if stamp <= self.mandate:
             return False
         self.view, self.mandate = view, stamp
+        self.alike = self.all_run(c.RECOVERY)
         return True
 
     def saw_presence(self, label: str, presence: Presence | None, stamp: int) -> None:
@@ -97,11 +103,13 @@
         else:
             self.present[label] = (presence.permit, stamp)
             self.generations[label] = presence.generation
+        self.alike = self.all_run(c.RECOVERY)
 
     def standing(self, now: float) -> Standing:
         if not self.hold.permit or self.view.members.get(self.me) != self.hold.permit:
             return Standing.OUTSIDE
-        return Standing.MEMBER if now < min(self.hold.valid_until, self.fresh_until) else Standing.LAPSED
+        until = min(self.hold.valid_until, self.fresh_until) - (0.0 if self.alike else self.less_s)
+        return Standing.MEMBER if now < until else Standing.LAPSED
 
     def may_act(self, now: float) -> bool:
         return self.standing(now) is Standing.MEMBER
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -12,7 +12,7 @@
 from alderbridge.jobs import Home, Job, JobState, Record, Run, TaskState
 from alderbridge.mesh import Clear, Grant, Halt, Queue, QueueRow, Seen, SeenTask
 from alderbridge.recovery import TABLE, Asking, Barrier, HoldBack, Knowledge, Known, Squaring, State, Told, Verdict
-from alderbridge.view import Membership
+from alderbridge.view import Membership, Presence
 from alderbridge.wire import Beat, MachineRecord
 
 # -- the table ---------------------------------------------------------------
@@ -232,8 +232,7 @@
             now = step * 0.1
             for number, at in enumerate(times):
                 if at <= now:
-                    label = f"host-{number}"
-                    membership.present[label] = (number + 1, number + 1)
+                    membership.saw_presence(f"host-{number}", Presence(number + 1, c.GENERATION), number + 1)
             change = membership.next_view(now)
             if change is not None:
                 views.append(now)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -93,3 +93,18 @@
     store._call = call
     with pytest.raises(error):
         store.commit({}, {"ab/x": 1}).send(None)
+
+
+def test_nobody_acts_longer_than_an_older_member_believes():
+    """It takes a view for settled after 12 s: who acted for 20 s would renew leases that it holds for lapsed."""
+    membership = Membership("host-0", 20.0, 12.0)
+    membership.hold.renewed(1, 0.0)
+    membership.followed(0.0)
+    for label, permit, generation in (("host-0", 1, c.GENERATION), ("host-1", 2, 1)):
+        membership.saw_presence(label, Presence(permit, generation), permit)
+    membership.saw_view(View("host-0", {"host-0": 1, "host-1": 2}), 5)
+    assert membership.may_act(11.0) and not membership.may_act(12.0)
+    membership.saw_presence("host-1", Presence(3, c.GENERATION), 6)  # it is back as the newer one
+    assert not membership.may_act(12.0), "the view still names the older one"
+    membership.saw_view(View("host-0", {"host-0": 1, "host-1": 3}), 7)
+    assert membership.may_act(19.0) and not membership.may_act(20.0)
