--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -294,8 +294,7 @@
     world = World(seed, jobs=30, trouble=False)
     home, part, _, _, machine = until_a_run(world)
     third = next(label for label in world.labels if label not in (home, part))
-    world.machines[machine].kill()
-    world.machines[machine].alive = False
+    world.machines[machine].die()
     world.nodes[home].cut_mesh_until = world.t + 26.0
     world.run(world.t + 20.0)
     assert machine not in world.nodes[part].node.replica.machines  # lapsed, and its record dropped
@@ -314,8 +313,7 @@
     world = World(seed, jobs=30, trouble=False)
     world.run(40.0)
     home, part, name, index, machine = until_a_run(world)
-    world.machines[machine].kill()
-    world.machines[machine].alive = False
+    world.machines[machine].die()
     world.nodes[home].crash()
     world.run(world.t + 2.0)
     world.restart(world.nodes[home])
--- a/tests/world.py
+++ b/tests/world.py
@@ -447,6 +447,10 @@
             self.world.left(part, self.name)
         self.tasks.clear()
 
+    def die(self) -> None:
+        self.kill()
+        self.alive = False
+
     def tick(self) -> None:
         """Lease and progress of tasks."""
         world = self.world
@@ -856,8 +860,7 @@
         for name in names:
             worker = self.machines.get(name)
             if worker is not None:
-                worker.kill()
-                worker.alive = False
+                worker.die()
                 self.machines[name] = None
             self.kinds.pop(name, None)
 
@@ -892,8 +895,7 @@
         elif workers:
             worker = rng.choice(workers)
             if kind == "die":
-                worker.kill()
-                worker.alive = False
+                worker.die()
             elif kind == "hang":
                 worker.hangs_until = self.t + length
             elif kind == "cut_machine":
@@ -910,8 +912,7 @@
         kind, length = rng.choice(["die", "hang", "cut", "hang_in_turn"]), rng.uniform(5.0, 45.0)
         for number, worker in enumerate(rng.sample(workers, math.ceil(len(workers) * rng.uniform(0.3, 0.9)))):
             if kind == "die":
-                worker.kill()
-                worker.alive = False
+                worker.die()
             elif kind == "cut":
                 worker.cut_until = self.t + length
             else:
@@ -943,8 +944,7 @@
         kind, length = rng.choice(["die", "hang", "cut", "raise", "sick"]), rng.uniform(5.0, 45.0)
         for worker in rng.sample(workers, math.ceil(len(workers) * rng.uniform(0.33, 0.9))):
             if kind == "die":
-                worker.kill()
-                worker.alive = False
+                worker.die()
             elif kind == "hang":
                 worker.hangs_until = self.t + length
             elif kind == "sick":
--- a/tools/bench_fall.py
+++ b/tools/bench_fall.py
@@ -182,7 +182,7 @@
         name = super().add_machine(spot, zone, boot_s)
         worker = self.workers[-1]
         worker.dead = worker.gone = False
-        worker.tenure, worker.answered_at, worker.sole = 1, self.now + boot_s, ""
+        worker.tenure, worker.answered_at = 1, self.now + boot_s
         return name
 
     def end(self, worker) -> None:
