A part stops what the store calls cancelled, without a word of the job's home

Need: cancel_s was kept by the home's halts. They stay lost for as long as home and part alone do not hear each other, and a report that had yet to acknowledge was answered, its lease renewed, without any order. Change: whoever answers a report halts what its own replica holds as cancelled, also before the acknowledgement, and orders no grant of it. The test world counts a cancellation from whoever tells it first, an answer to a question included: it passed over those.

--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -162,6 +162,7 @@
         self.spec_of = spec_of  # None: unknown, or ended for good
         self.home_of = home_of
         self.upto: Callable[[str], int] = lambda label: 0
+        self.cancelled: Callable[[str], bool] = lambda job: False  # the store says so, as far as this process has read
         self.machines: dict[str, Machine] = {}
         self.returned: set[str] = set()  # confirmed gone; late reports mean nothing
         self.doomed: set[str] = set()  # wanted back before they ever reported
@@ -273,7 +274,11 @@
         machine.address = beat.address
         if beat.mandate < self.mandate:
             self.squaring.hear(machine.name)
-            return machine  # the answer brings the mandate; only a later report proves anything
+            # The answer brings the mandate; only a later report proves anything. It renews the lease, too: of views in
+            # quick succession each would keep what is cancelled for one report more.
+            shown = ((_key(task.part), task) for task in beat.tasks)
+            self._stop_cancelled(machine, {key: (task.attempt, task.status) for key, task in shown if key[0]})
+            return machine
         first = not machine.acked or machine.state is MachineState.LAPSED
         if first:
             if not machine.carried:
@@ -332,6 +337,7 @@
         if len(machine.clears) < waiting or not waiting:  # all that waited were sent
             machine.clears_since = now
         self._orphans(machine)
+        self._stop_cancelled(machine, {key: (on.attempt, on.status) for key, on in tasks.items()})
         if not machine.idle:
             machine.idle_since = None
         elif machine.idle_since is None:
@@ -341,6 +347,18 @@
             self.tell_homes(machine, self.send if urgent else self.send_later)
             self.squaring.square(machine.name)
 
+    def _stop_cancelled(self, machine: Machine, shown: Mapping[Task, tuple[int, str]]) -> None:
+        """What a report shows of cancelled jobs is told to stop by whoever answers it, if that has read of their end.
+
+        Their home says so, too, but its word may be lost for as long as it is cut off from here, and this answer would
+        go on renewing the lease. ``cancel_s`` is kept by this (docs/design.md, "Cancelled"): who acts has read all
+        that was stored a ttl ago.
+        """
+        for job in {job for job, _ in shown if self.cancelled(job)}:
+            for (of, index), (attempt, status) in shown.items():
+                if of == job and status != "ended":
+                    machine.halts[(job, index)] = (attempt, 0.0)
+
     def _orphans(self, machine: Machine) -> None:
         """Tasks of jobs that are over for good have no home to ask."""
         over = [job for job in {job for job, _ in machine.tasks} if self.spec_of(job) is None]
@@ -371,13 +389,14 @@
                 log.info("machine=%s state=aside cause=errors in a row", machine.name)
 
     def orders(self, machine: Machine) -> list[dict]:
-        """The orders of a response; none for a machine that has yet to acknowledge.
+        """The orders of a response; for a machine that has yet to acknowledge only the end of what is cancelled.
 
         Clears alone wait for other orders, up to a bound: a worker reports anew for each change, and an ended
         task takes nothing of a machine.
         """
-        if not machine.acked:
-            return []
+        if not machine.acked:  # what a halt ends here is of use to nobody, so nothing is concluded from its absence
+            return [halt_order(job, index, attempt, 0.0) for (job, index), (attempt, _) in machine.halts.items()
+                    if self.cancelled(job)]
         if (not machine.halts and not machine.pending and len(machine.clears) < c.CLEARS_MOST
                 and machine.heard_at - machine.clears_since < c.CLEAR_WAIT_S):
             return []
@@ -389,9 +408,9 @@
                 on = machine.tasks.get((job, index))
                 if on is not None and on.attempt != pending.attempt:
                     continue  # the old attempt must be cleared first
-                if self.hours is not None and self._closed(job):
-                    # Granted, but its hours have closed since. Whatever was sent of it was not carried out, as the
-                    # report that this answers would show it: the next one frees it for its home.
+                if self.cancelled(job) or (self.hours is not None and self._closed(job)):
+                    # Granted, but its job is cancelled, or its hours have closed, since. Whatever was sent of it was
+                    # not carried out, as the report that this answers would show it: the next one frees it.
                     machine.halts[(job, index)] = (pending.attempt, 0.0)
                     continue
                 pending.sent = True
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -118,6 +118,7 @@
         self.part = Part(self.me, shared.workers.lease_s, self.send, self.spec_of, self.home_of,
                          rng or Random(platform.label))
         self.part.upto = self.upto
+        self.part.cancelled = self.cancelled
         self.part.send_later = self.home.send_later = self.send_later
         self.busy: placement.Busy | None = None  # made when first asked for in a round
         self.kept: tuple[str, float] = ("", float("-inf"))  # machine whose room is kept, and when last for something
@@ -175,6 +176,10 @@
         stored = self.replica.active.get(job)
         return stored[0].spec if stored is not None else None
 
+    def cancelled(self, job: str) -> bool:
+        """Whether the store says so, as far as it has been read here: never taken back."""
+        return self.replica.ended.get(job) is JobState.ABORTED
+
     def home_of(self, job: str) -> str:
         if job in self.home.jobs:
             return self.me
--- a/tests/world.py
+++ b/tests/world.py
@@ -846,6 +846,8 @@
             if job not in self.cancelled_at and not any(one in self.cancelled_at for one in self.before(job)):
                 raise Broken(f"went_back: {job} was never cancelled")
             self.said[job] = state
+            if job in self.cancelled_at:  # whoever says so first, a question's answer included
+                self.cancelled_at[job] = min(self.cancelled_at[job], self.t)
         elif any(self.t > self.cancelled_at.get(one, math.inf) + CANCEL_S for one in self.before(job)):
             raise Broken(f"orphaned: {job} is called {state}")
 
