--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -211,6 +211,8 @@
 def never_halted(monkeypatch):
     monkeypatch.setattr(Part, "on_halt", lambda self, halt: None)
     monkeypatch.setattr(Part, "_orphans", lambda self, machine: None)
+    # The part stops what it knows to be cancelled, the home's word or not: that is lost as well here.
+    monkeypatch.setattr(Part, "_stop_cancelled", lambda self, machine, shown: None)
 
 
 def nobody_waits(monkeypatch):
