After a long outage of the store the fleet is still there: no returns, no records rewritten

Cause: silence was counted also while nobody listened. 76 s after the store went away each machine had been silent for a minute, its lease over: the leader's first look returned the whole fleet as lost, a second before it reported again (seen in the test world: 11 to 14 of 14). And every lapsed machine's record was dropped at once and written again: 1,200 changes for 600 machines, half a minute in which nothing may be started. Change: silence counts from when the part listens; records of lapsed machines go only once machines had time to report, and one that is back before its drop was ever sent keeps its record.

--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -163,6 +163,8 @@
         self.home_of = home_of
         self.upto: Callable[[str], int] = lambda label: 0
         self.cancelled: Callable[[str], bool] = lambda job: False  # the store says so, as far as this process has read
+        self.keep_record: Callable[[str], bool] = lambda name: False  # whether no drop of its record has been sent yet
+        self.listens_since: float | None = None  # since when reports could be answered; None: not now
         self.machines: dict[str, Machine] = {}
         self.returned: set[str] = set()  # confirmed gone; late reports mean nothing
         self.doomed: set[str] = set()  # wanted back before they ever reported
@@ -287,7 +289,12 @@
             machine.ordered.clear()  # under an older view: this report shows what came of it
             self.squaring.acknowledge(machine.name)
             if not machine.recorded and machine.name not in self.to_record:
-                self.to_record.append(machine.name)
+                # All lapse when the store was away for longer than a lease, and are back before their records are
+                # dropped: to drop and write 600 of them again took all changes of the store for half a minute, in
+                # which nothing could be started.
+                machine.recorded = self.keep_record(machine.name)
+                if not machine.recorded:
+                    self.to_record.append(machine.name)
             log.debug("machine=%s state=up cause=acknowledged mandate=%d", machine.name, self.mandate)
         if beat.recall_s is not None or beat.machine in self.doomed:
             machine.drain()
@@ -541,6 +548,24 @@
 
     # -- time --------------------------------------------------------------
 
+    def listen(self, now: float, acts: bool) -> None:
+        """Whether this process answers reports now."""
+        if not acts:
+            self.listens_since = None
+        elif self.listens_since is None:
+            self.listens_since = now
+
+    def silent_s(self, machine: Machine, now: float) -> float:
+        """How long it has been silent while somebody listened: else it says nothing of the machine.
+
+        After 80 s without the store the leader returned the whole fleet as lost, a second before it reported again.
+        """
+        return now - max(machine.heard_at, now if self.listens_since is None else self.listens_since)
+
+    def drops_due(self, now: float) -> list[str]:
+        """Records to be dropped: none until machines had time to report again after nobody could answer them."""
+        return self.to_drop if self.listens_since is not None and now - self.listens_since >= c.SILENT_S else []
+
     def check_leases(self, now: float) -> None:
         """Machines whose lease has provably run out. While they report, a look is due once in most of a lease."""
         wait = self.lease_s * (1 + 2 * c.CLOCK_DRIFT) + c.PROOF_MARGIN_S
@@ -707,5 +732,5 @@
             if now < machine.aside_until and machine.state is MachineState.UP:
                 state = "aside"
             rows.append(RoomRow(machine.name, machine.type, machine.zone, machine.spot, state, idle, self.free(machine),
-                                [(float(end), *freed) for end, freed in ends.items()], now - machine.heard_at))
+                                [(float(end), *freed) for end, freed in ends.items()], self.silent_s(machine, now)))
         return rows
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -118,7 +118,7 @@
         self.part = Part(self.me, shared.workers.lease_s, self.send, self.spec_of, self.home_of,
                          rng or Random(platform.label))
         self.part.upto = self.upto
-        self.part.cancelled = self.cancelled
+        self.part.cancelled, self.part.keep_record = self.cancelled, self.keep_record
         self.part.send_later = self.home.send_later = self.send_later
         self.busy: placement.Busy | None = None  # made when first asked for in a round
         self.kept: tuple[str, float] = ("", float("-inf"))  # machine whose room is kept, and when last for something
@@ -144,6 +144,7 @@
         self.offers = placement.Offers()
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
+        self.drops_sent: set[str] = set()  # of these, those whose drop may be carried out at any moment
         self.dropping_lists: list[str] = []  # keys of lists whose jobs are over
         self.doomed_at: dict[str, float] = {}  # since when this node knows that a job before it is aborted
         self.wall = 0.0  # time of day less ``now``
@@ -449,6 +450,7 @@
         self.ledger.enter()
         self.desk.enter(members)
         self.dropping = [name for name in self.dropping if name in self.part.returned]
+        self.drops_sent.clear()  # under an older view: carried out before this one, or never
         self.pump()
 
     # -- dependencies ----------------------------------------------------------
@@ -518,8 +520,9 @@
                 batch.puts, batch.drops = batch.claims.puts, batch.claims.drops
                 self.write_budget.spend(now, batch.changes)
                 return batch
-        self.dropping += self.part.to_drop
-        self.part.to_drop = []
+        if drops := self.part.drops_due(now):
+            self.dropping += drops
+            self.part.to_drop = []
         due = sorted(self.home.due_writes(now), key=lambda entry: entry[0])
         queue: list[Job | Submission] = [job for rank, job in due if rank < 2.0]
         queue += self.submissions.values()
@@ -569,6 +572,7 @@
                 batch.jobs.append((job, record, list(job.to_clear)))
         batch.gone = self.dropping[:len(batch.gone) + max(0, plain - batch.changes)]
         batch.drops = [MACHINES + name for name in batch.gone]
+        self.drops_sent.update(batch.gone)
         # Carried out late, a drop must not hit a record that has been written again since.
         batch.conditions |= {MACHINES + name: self.replica.machines.get(name, 0) for name in batch.gone}
         if batch.changes < plain:
@@ -582,8 +586,8 @@
 
     def nothing_to_write(self) -> bool:
         """Whether nothing has come since the last look that found nothing, or nothing affordable, to write."""
-        return not (self.fresh or self.home.tally.changed or self.part.to_record or self.part.to_drop or self.dropping
-                    or self.dropping_lists or not self.ledger.idle)
+        return not (self.fresh or self.home.tally.changed or self.part.to_record or self.part.drops_due(self.now)
+                    or self.dropping or self.dropping_lists or not self.ledger.idle)
 
     def next_write_in(self, now: float) -> float:
         """How long a look for what to write can wait, in seconds, if nothing comes."""
@@ -676,6 +680,18 @@
         self.replica.machines.pop(name, None)
         self.replica.records.pop(name, None)
         self.dropping = [other for other in self.dropping if other != name]
+        self.drops_sent.discard(name)
+
+    def keep_record(self, name: str) -> bool:
+        """A machine that lapsed is back: its record stays where it is, if no drop of it was ever sent under this view.
+
+        One that was sent may be carried out late, when tasks are on the machine again.
+        """
+        for waiting in (self.part.to_drop, self.dropping):
+            if name in waiting and name not in self.drops_sent:
+                waiting.remove(name)
+                return True
+        return False
 
     def reread(self, batch: Batch, key: str, row: wire.Row | None, now: float) -> None:
         """What the store holds under a key whose condition failed: decide anew."""
@@ -902,6 +918,7 @@
     def round(self, now: float) -> None:
         self.now = now
         members = self.membership.view.members
+        self.part.listen(now, self.may_act())
         self.follow_hours()
         for label in list(self.later):
             self.send_held(label)
--- /dev/null
+++ b/tests/test_meetings_outage.py
@@ -0,0 +1,75 @@
+"""The store is away for longer than any lease, and comes back: the fleet is where it was, and goes on at once."""
+
+import pytest
+from test_machines import beat, part_with_machine
+from world import World
+
+from alderbridge import constants as c
+from alderbridge.machines import MachineState
+from alderbridge.node import Node
+from alderbridge.store import MACHINES
+
+DOWN_S = c.OUTLAST_S + c.LOST_S  # hold and lease are over, and a silence of ``LOST_S`` after them
+
+
+def outage(seed, down_s=DOWN_S):
+    world = World(seed, trouble=False, nodes=5, jobs=6, rush=True)
+    returned, drops = [], []
+    remove, commit = world.remove, world.store.commit
+
+    def record_drops(conditions, puts, dropped=(), permit=None):
+        drops.extend((world.t, key) for key in dropped if key.startswith(MACHINES))
+        return commit(conditions, puts, dropped, permit)
+
+    world.run(40.0)
+    world.remove = lambda names: returned.extend((world.t, name) for name in names) or remove(names)
+    world.store.commit = record_drops
+    there = [name for name, worker in world.machines.items() if worker is not None]
+    world.store.outage(down_s)
+    over = world.t + down_s
+    world.run(over + 8.0)
+    return world, there, over, [name for at, name in returned if at >= over], [key for at, key in drops if at >= over]
+
+
+@pytest.mark.parametrize("seed", (1, 2, 3))
+def test_the_fleet_outlasts_an_outage_of_the_store(seed):
+    """Silence while nobody listened is none; and no record goes and comes back for machines that were only unheard."""
+    world, there, over, returned, dropped = outage(seed)
+    assert len(there) >= 5 and not set(returned) & set(there)
+    assert not set(dropped) & {MACHINES + name for name in there}
+    assert world.began and all(sim.node.may_act() for sim in world.nodes.values())
+    world.run(over + 240.0)
+    world.remembered()
+    assert not [job for job in world.accepted if job not in world.said and not world.specs[job].service]
+
+
+@pytest.mark.parametrize("sent", (True, False))
+def test_a_record_stays_only_where_no_drop_of_it_is_on_its_way(sent):
+    """Carried out late, that would take the record away while tasks are on the machine: they would be started again."""
+    part, _ = part_with_machine()
+    beat(part, 1)
+    part.check_leases(100.0)
+    machine = part.machines["n-1"]
+    assert machine.state is MachineState.LAPSED and part.to_drop == ["n-1"] and not machine.recorded
+    part.keep_record = lambda name: not sent
+    beat(part, 101)
+    assert machine.state is MachineState.UP and machine.recorded is not sent
+    assert part.to_record == (["n-1"] if sent else [])
+
+
+def test_a_drop_that_had_no_answer_is_not_taken_back():
+    world = World(5, trouble=False, jobs=3)
+    world.run(40.0)
+    node, name = next((sim.node, name) for sim in world.nodes.values() for name in sorted(sim.node.part.machines)
+                      if sim.node.part.machines[name].recorded)
+    node.part.machines[name].lapse()
+    node.part._unrecord(node.part.machines[name])
+    assert Node.keep_record(node, name) and not node.keep_record(name), "once: nothing is to be dropped any more"
+    node.part.to_drop.append(name)
+    batch = node.next_batch(world.t)
+    assert batch is not None and name in batch.gone
+    assert not node.keep_record(name)
+    node.batch_failed(batch, world.t)
+    assert not node.keep_record(name), "unanswered, it may yet be carried out"
+    node.enter_view(world.t, world.t)
+    assert name not in node.dropping and not node.drops_sent
