Records of machines: a late put goes again at once, a late answer changes no newer record

A put of a machine's record that had no answer was tried again, stored, and dropped when the machine had lapsed or was returned; then the first put was carried out. It asserts the view and that there is no record: it came back, and each later view waited a lease for it. What the replica shows of a machine that has lapsed or is gone is now dropped at once, and never taken for the word that a living one is recorded, as a drop may be on its way. A new view does not wait for a machine whose return this process knows.

An answer that came after the next view was worse. That of a drop hid the record which the machine's new part had written meanwhile: under the view after that its tasks were free here, and could start elsewhere while they ran. That of a put brought back a record that was dropped, and no part would ever have struck it from this home's barrier. Both now change the replica only where it holds nothing newer.

--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -566,6 +566,15 @@
         elif name in self.returned:
             self.to_drop.append(name)
 
+    def on_shown(self, name: str) -> None:
+        """The replica shows its record; where nothing is on the machine, a put was carried out late: it goes again.
+
+        Never taken for the word that it is recorded: a drop may be on its way, and no ``run`` before that is settled.
+        """
+        machine = self.machines.get(name)
+        if name in self.returned if machine is None else machine.state is MachineState.LAPSED:
+            self.to_drop.append(name)
+
     def check_silence(self, now: float) -> None:
         """One line a second until every machine is squared, given up or known to be silent."""
         waits = not self.squaring.over
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -353,11 +353,17 @@
     def apply(self, changes: list[wire.Change], now: float, wall: float) -> None:
         """Changes of the store, in order."""
         self.now, self.wall = now, wall - now
+        shown: list[str] = []
         for change in changes:
             if self.replica.apply(change):
                 self.enter_view(now, wall)
             elif change.put is not None and change.put.startswith(JOBS):
                 self.take_in(change.put[len(JOBS):])
+            elif change.put is not None and change.put.startswith(MACHINES):
+                shown.append(change.put[len(MACHINES):])
+        for name in shown:
+            if name in self.replica.machines and self.membership.part_of(name) == self.me:
+                self.part.on_shown(name)
         self.follow_graph()
         self.follow_declared()
 
@@ -444,6 +450,8 @@
         self.ledger.enter()
         self.desk.enter(members)
         self.dropping = [name for name in self.dropping if name in self.part.returned]
+        # Its drop was overtaken by the view, or a late put brought the record back: no home need wait a lease for it.
+        self.dropping += self.part.on_gone([name for name in mine if name in self.part.returned])
         self.pump()
 
     # -- dependencies ----------------------------------------------------------
@@ -513,7 +521,7 @@
                 batch.puts, batch.drops = batch.claims.puts, batch.claims.drops
                 self.write_budget.spend(now, batch.changes)
                 return batch
-        self.dropping += self.part.to_drop
+        self.dropping = list(dict.fromkeys(self.dropping + self.part.to_drop))
         self.part.to_drop = []
         due = sorted(self.home.due_writes(now), key=lambda entry: entry[0])
         queue: list[Job | Submission] = [job for rank, job in due if rank < 2.0]
@@ -630,9 +638,10 @@
         if batch.claims is not None:
             self.ledger.done(batch.claims, stamp)
         for name in batch.gone:
-            self._dropped(name)
-        for name in batch.machines:
-            self._recorded(name, stamp, current)
+            if not self._written_since(name, batch):
+                self._dropped(name)
+        for name in batch.machines if current else ():
+            self._recorded(name, stamp)
         for job, record, cleared in batch.jobs:
             if self.home.jobs.get(job.spec.id) is job:
                 self.home.written(job, record, stamp, cleared, now)
@@ -660,12 +669,22 @@
         if job.drained and self.home.jobs.get(job.spec.id) is job:
             self.home.leave(job)
 
-    def _recorded(self, name: str, stamp: int, current: bool) -> None:
+    def _recorded(self, name: str, stamp: int) -> None:
+        """Under the view in force: what was written under an older one the replica had when that ended.
+
+        Since then the machine's new part may have dropped the record. Kept here alone it stayed in the barrier of
+        later views, from which no part would ever strike it.
+        """
         self.replica.machines[name] = max(stamp, self.replica.machines.get(name, 0))
-        if current:
-            self.part.on_recorded(name)
-        elif name in self.part.to_record:
-            self.part.to_record.remove(name)
+        self.part.on_recorded(name)
+
+    def _written_since(self, name: str, batch: Batch) -> bool:
+        """Whether the replica has a newer record than the one that the batch was to drop.
+
+        An answer may come after the next view, whose part has recorded the machine anew. Taken for unrecorded, what
+        runs on it was free under the view after that, and started elsewhere.
+        """
+        return self.replica.machines.get(name, 0) > batch.conditions[MACHINES + name]
 
     def _dropped(self, name: str) -> None:
         self.replica.machines.pop(name, None)
@@ -682,11 +701,14 @@
             # An earlier write of ours had no answer.
             name = key[len(MACHINES):]
             if name in batch.gone and row is None:
-                self._dropped(name)
+                if not self._written_since(name, batch):
+                    self._dropped(name)
+            elif not current:
+                pass  # what was read may be gone again, and the replica tells
             elif name in batch.gone and row is not None:
                 self.replica.machines[name] = row.stamp
             elif row is not None:
-                self._recorded(name, row.stamp, current)
+                self._recorded(name, row.stamp)
             return
         if row is None or batch.claims is not None:
             return  # claims in conflict are given up: the replica will show them
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -137,6 +137,145 @@
     return next(name for name in (f"n-{number:06d}" for number in range(99)) if choose(name, sorted(members)) == part)
 
 
+# -- records of machines
+
+@pytest.mark.parametrize("end", ("lapsed", "returned"))
+def test_a_machines_record_that_is_carried_out_late_goes_again_at_once(end):
+    """Put twice, dropped, and then the first put: nobody reports for it, and each later view waits a lease for it."""
+    alone = Alone()
+    name = "n-000001"
+    alone.beat(name, 1)
+    first = alone.lost()
+    assert MACHINES + name in first.puts
+    alone.write()
+    if end == "lapsed":
+        alone.go(LEASE_S + 2.0)
+        assert alone.node.part.machines[name].state is MachineState.LAPSED
+    else:
+        alone.node.returned([name], alone.t)
+    alone.write()
+    assert MACHINES + name not in alone.store.data
+    assert not alone.carry_out(first).failed, "it asserts the view, and that there is no record"
+    alone.follow()
+    alone.write()
+    assert MACHINES + name not in alone.store.data
+    assert name not in alone.node.replica.machines
+
+
+def test_a_machine_that_went_before_its_record_was_carried_out_leaves_none():
+    """The put had no answer; its machine is returned, the drop finds nothing to drop, and then the put comes."""
+    alone = Alone()
+    name = "n-000001"
+    alone.beat(name, 1)
+    first = alone.lost()
+    alone.node.returned([name], alone.t)
+    alone.write()
+    assert not alone.carry_out(first).failed
+    alone.follow()
+    alone.write()
+    assert MACHINES + name not in alone.store.data
+
+
+def test_no_task_is_ordered_while_a_drop_of_the_machines_record_is_on_its_way():
+    """It lapsed, its drop had no answer, and it reports again; the late put's record is no leave to run either."""
+    alone = Alone()
+    name = "n-000001"
+    alone.beat(name, 1)
+    put = alone.lost()
+    alone.write()
+    alone.go(LEASE_S + 2.0)
+    drop = alone.lost()
+    assert drop.drops == [MACHINES + name]
+    machine = alone.beat(name, 1, tenure=2)
+    assert machine.acked and not machine.recorded
+    alone.follow()
+    assert not machine.recorded and alone.node.part.candidate(machine, alone.t) is None
+    assert not alone.carry_out(drop).failed and not alone.carry_out(put).failed  # both late, one after the other
+    alone.follow()
+    assert not machine.recorded, "the record may go by the drop that is repeated"
+    alone.write()
+    assert machine.recorded and MACHINES + name in alone.store.data
+    assert alone.carry_out(drop).failed and alone.carry_out(put).failed, "neither can be carried out any more"
+
+
+def test_the_answer_to_a_drop_does_not_hide_a_record_that_was_written_since():
+    """Answered after the next view, in which the machine has reported again to its new part.
+
+    Taken for unrecorded, its tasks were free under the view after that, and ran elsewhere while they were on it.
+    """
+    alone = Alone("host-1")
+    name = machine_of("host-0", "host-0", "host-1")
+    alone.up(name)
+    job = alone.job()
+    alone.go(SETTLED_S + LEASE_S)  # silent: it lapses
+    drop = alone.batch()
+    assert drop.drops == [MACHINES + name]
+    answer = alone.carry_out(drop)
+    alone.come("host-2")
+    alone.view("host-1", "host-0", "host-2")
+    alone.store.commit({}, {MACHINES + name: wire.MachineRecord("x", "small", "a")})  # by its part under this view
+    alone.follow()
+    alone.runs(job, name, 0)
+    alone.node.batch_done(drop, answer.epoch, alone.t)  # 2 s after it was sent, at the latest
+    assert name in alone.node.replica.machines
+    alone.view("host-1", "host-0")
+    assert 0 in job.runs, "its machine is recorded, so only a report, its lease or its return frees it"
+
+
+def test_a_record_read_before_the_view_is_not_taken_for_gone_after_it():
+    """As above, where the drop met a conflict and the read of the record is answered late."""
+    alone = Alone("host-1")
+    name = machine_of("host-0", "host-0", "host-1")
+    alone.up(name)
+    alone.go(SETTLED_S + LEASE_S)
+    unanswered = alone.lost()
+    alone.carry_out(unanswered)
+    drop = alone.batch()
+    assert drop.drops == [MACHINES + name]
+    assert alone.carry_out(drop).failed == [MACHINES + name]
+    alone.view("host-1", "host-0")
+    alone.store.commit({}, {MACHINES + name: wire.MachineRecord("x", "small", "a")})
+    alone.follow()
+    alone.node.reread(drop, MACHINES + name, None, alone.t)  # as it was when it was read
+    assert name in alone.node.replica.machines
+
+
+@pytest.mark.parametrize("how", ("answer", "read"))
+def test_the_answer_to_a_put_does_not_bring_a_record_back(how):
+    """The next view's part has dropped it: kept here alone, no part would ever strike it from the barrier."""
+    alone = Alone("host-1")
+    name = machine_of("host-0", "host-0", "host-1")
+    alone.beat(name, 1)
+    put = alone.batch()
+    answer = alone.carry_out(put)
+    alone.view("host-1", "host-0")
+    alone.store.commit({}, {}, [MACHINES + name])
+    alone.follow()
+    assert name not in alone.node.replica.machines
+    if how == "answer":
+        alone.node.batch_done(put, answer.epoch, alone.t)
+    else:
+        alone.node.reread(put, MACHINES + name, wire.Row(MACHINES + name, msgspec.Raw(b"{}"), answer.epoch), alone.t)
+    assert name not in alone.node.replica.machines
+
+
+def test_a_new_view_does_not_wait_for_a_machine_whose_return_is_confirmed():
+    """Its record came back by a late put just before the view."""
+    alone = Alone("host-1")
+    name = machine_of("host-0", "host-0", "host-1")
+    alone.beat(name, 1)
+    put = alone.lost()
+    alone.node.returned([name], alone.t)
+    alone.write()
+    assert not alone.carry_out(put).failed
+    alone.store.commit({}, {VIEW: View("host-0", {label: alone.permits[label] for label in ("host-0", "host-1")})})
+    alone.follow()
+    alone.node.pump()
+    assert not alone.node.home.barrier, "nothing is on it"
+    alone.write()
+    assert MACHINES + name not in alone.store.data
+
+
 # -- records of jobs
 
 def test_a_result_is_not_cleared_before_the_store_holds_it():
