Lists beside records: none stays behind, whatever is unanswered or late

Keys of lists were forgotten when the transaction that drops them was built: one without an answer left them in the store. They stay with the batch and come back when it fails. Lists were put under the view alone, so that a put carried out late came back after its job was over; it now asserts that the job has no record, and a try that meets one finds the job known.

--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -88,6 +88,7 @@
     machines: list[str] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
     lists: list[tuple[Submission, str]] = field(default_factory=list)
+    old_lists: list[str] = field(default_factory=list)  # keys of lists that it drops
     proposal: Proposal | None = None  # then nothing else
     claims: Transaction | None = None  # then nothing else is in it
 
@@ -554,6 +555,8 @@
                         break
                     batch.lists.append((entry, key))
                     batch.puts[key] = names
+                    # Carried out late, it must not come back when the job is over and its lists are dropped.
+                    batch.conditions[JOBS + job.spec.id] = 0
                     size += self.home.value_bytes
                 if entry.lists:
                     continue  # its record follows when they are stored
@@ -576,7 +579,8 @@
         batch.conditions |= {MACHINES + name: self.replica.machines.get(name, 0) for name in batch.gone}
         if batch.changes < plain:
             count = plain - batch.changes
-            batch.drops += self.dropping_lists[:count]  # unanswered, a list stays behind: it is never read again
+            batch.old_lists = self.dropping_lists[:count]
+            batch.drops += batch.old_lists  # nobody reads them: to drop them twice, or late, takes nothing away
             del self.dropping_lists[:count]
         if not batch.changes:
             return None
@@ -604,6 +608,8 @@
         """Refused, in conflict, or without an answer: all of it is due again."""
         for job, _, _ in batch.jobs:
             job.touch(now)
+        self.dropping_lists += batch.old_lists
+        batch.old_lists = []  # once: a conflict that can't be read fails again
         if batch.proposal is not None:
             self.declared.failed(batch.proposal, now)
         if batch.claims is not None:
@@ -714,7 +720,7 @@
             return  # claims in conflict are given up: the replica will show them
         record = _record.decode(row.data)
         name = key[len(JOBS):]
-        for submission, _ in batch.fresh:
+        for submission, _ in batch.fresh + batch.lists:
             job = submission.job
             if job.spec.id == name and not submission.outcome:
                 self.replica.saw_job(name, record, row.stamp)
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -392,3 +392,42 @@
     there.follow()
     assert SPEC.id in there.node.home.jobs and SPEC.id not in alone.node.home.jobs
     assert there.node.state_here(SPEC.id, there.t)[0] == "pending"
+
+
+# -- lists beside records
+
+def test_lists_whose_drop_had_no_answer_are_dropped_again():
+    alone = Alone()
+    keys = [f"{LISTS}wk-000009/x/{number}" for number in range(3)]
+    alone.store.commit({}, dict.fromkeys(keys, ["wk-000008"]))
+    alone.follow()
+    alone.node.dropping_lists = list(keys)
+    batch = alone.lost()
+    assert batch.drops == keys
+    alone.node.batch_failed(batch, alone.t)  # the read that followed a conflict may fail as well
+    alone.write()
+    assert not [key for key in alone.store.data if key.startswith(LISTS)]
+    assert not alone.node.dropping_lists
+
+
+def test_a_list_that_is_carried_out_late_does_not_come_back_after_its_job():
+    """It asserted the view alone. A try that meets the job's record finds it known, and writes no lists."""
+    alone = Alone()
+    alone.node.home.value_bytes = 700
+    needs = [f"wk-{number:06d}" for number in range(100, 250)]
+    spec = msgspec.structs.replace(SPEC, needs=needs)
+    submission = alone.node.submit(spec, alone.t, alone.t)
+    assert len(submission.lists) > 1
+    late = alone.lost()
+    assert all(key.startswith(LISTS) for key in late.puts)
+    alone.write()
+    assert submission.outcome == "accepted"
+    assert alone.node.withdraw(SPEC.id, alone.t) == ""
+    alone.write()
+    assert not [key for key in alone.store.data if key.startswith(LISTS)]
+    assert alone.carry_out(late).failed == [JOBS + SPEC.id]
+    alone.node.replica.ended.clear()  # another controller, which has yet to hear of the job
+    alone.node.replica.lists.clear()
+    again = alone.node.submit(spec, alone.t, alone.t)
+    alone.settle(alone.batch())
+    assert again.outcome == "known" and not [key for key in alone.store.data if key.startswith(LISTS)]
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -99,8 +99,7 @@
     world.poll(after.id)
     world.run(260.0)  # its team is at its limit for most of the time
     assert world.said[after.id] == "done"
-    left = [key for key in world.store.data if key.startswith(LISTS)]
-    assert len(left) <= COMING.txn_ops  # a transaction without an answer may leave its lists behind, never read again
+    assert not [key for key in world.store.data if key.startswith(LISTS)]
 
 
 @pytest.mark.parametrize("seed", (6000, 6001, 6002))
