Declarations: an answer is no news where the replica has a newer head

The answer to a transaction that put a text may come after another proposer's head, which dropped that text. Taken for stored, it would have been named by this file's head, and who can't read what a head names does not act: nobody would.

--- a/alderbridge/declared/declarations.py
+++ b/alderbridge/declared/declarations.py
@@ -290,7 +290,14 @@
         return None
 
     def done(self, proposal: Proposal, stamp: int, now: float) -> None:
-        """Carried out: known here before the change comes back."""
+        """Carried out: known here before the change comes back.
+
+        Not where the replica has a newer head already: what was put may be dropped by it, and what was dropped put
+        again. A text counted on that is not in the store would be named by a head that nobody can read.
+        """
+        declaration = self.kinds[proposal.kind]
+        if max(declaration.stamp, declaration.arrived[1] if declaration.arrived else 0) >= stamp:
+            return
         for key, value in proposal.puts.items():
             self.apply(key, msgspec.json.encode(value), stamp)
         for key in proposal.drops:
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -431,3 +431,27 @@
     again = alone.node.submit(spec, alone.t, alone.t)
     alone.settle(alone.batch())
     assert again.outcome == "known" and not [key for key in alone.store.data if key.startswith(LISTS)]
+
+
+# -- declarations
+
+def test_the_answer_to_a_text_does_not_bring_it_back_when_another_head_has_dropped_it():
+    """Counted on as stored, it was named by this file's head: nobody could read that, and all stopped acting."""
+    raw = msgspec.json.encode({"words": ["a" * 900]})
+    own = declared.Declared("hours", 3, texts.digest_of(raw), raw)
+    one = Declarations({"hours": own}, 20.0, ["host-0"])
+    other = Revision(2, "other", 0)
+    membership = SimpleNamespace(present={"host-0": (1, 1)}, all_run=lambda generation: True, leads=lambda now: False)
+    head = Head(1, "first", 0, 0.0)
+    one.apply(DECLARED + "hours", msgspec.json.encode(head), 5)
+    one.look(0.0)
+    proposal = one.due(membership, 0.0, 0.0, 1, 512)  # room for one text, the head is to follow
+    (key, piece), = proposal.puts.items()
+    assert key in records.piece_keys("hours", Revision(3, own.digest, records.parts_of(raw, 512)))
+    one.apply(key, msgspec.json.encode(piece), 7)  # the replica shows it, and the other's head, before the answer
+    one.apply(key, None, 8)
+    one.apply(DECLARED + "hours", msgspec.json.encode(Head(2, "other", 0, 0.0, head.last)), 8)
+    one.look(0.0)
+    one.done(proposal, 7, 0.0)
+    assert key not in one.kinds["hours"].pieces
+    assert other.revision == one.kinds["hours"].head.revision
