Users: an end that has arrived here is followed by nothing older

A record read from a slow store, or a home's answer, may be older than the end that has arrived here, and was told to the same user for a cancel, before it is passed on. What is told of a job now looks at the ends that are known last of all.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -620,7 +620,16 @@
         return self.noted(job, reply) if reply is not None else await self.status_stored(job)
 
     def noted(self, job: str, answer: Answer) -> Answer:
-        """A job about which nothing is answered counts as forgotten, whatever else works: said, and seldom."""
+        """What a user is told of a job, after what its home or the store has answered.
+
+        That may have taken seconds, and the end have arrived here, and been told to the same user, in the meantime:
+        an end is followed by nothing older.
+
+        A job about which nothing is answered counts as forgotten, whatever else works: said, and seldom.
+        """
+        ended = self.node.replica.ended.get(job)
+        if ended is not None:
+            answer = 200, wire.job_status(job, ended.value, 0, 0), []
         if answer[0] != 503:
             if self.unanswered:
                 self.unanswered.pop(job, None)
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -455,3 +455,154 @@
     one.done(proposal, 7, 0.0)
     assert key not in one.kinds["hours"].pieces
     assert other.revision == one.kinds["hours"].head.revision
+
+
+# -- what users are told
+
+def asking(monkeypatch):
+    """A controller that knows a job's home to be host-1, at work, and what it knows of the job's end."""
+    control = Controller(platform("host-0", ["host-0", "host-1"]), Tuning(), Poll())
+    node = control.node
+    record = Record(JobState.ACTIVE, "host-1", 0.0, 3, [], SPEC)
+    node.replica.saw_job(SPEC.id, record, 5)
+    node.membership.saw_view(View("host-1", {"host-0": 1, "host-1": 2}), 4)
+    return control, record
+
+
+@pytest.mark.parametrize("ended", (JobState.DONE, JobState.ABORTED))
+def test_a_record_read_before_its_job_ended_is_not_told_after_the_end(monkeypatch, ended):
+    """The store answers slowly; meanwhile the end has arrived here, and the user was told so for the cancel."""
+    control, record = asking(monkeypatch)
+
+    async def slow(key):
+        row = wire.Row(key, msgspec.Raw(msgspec.json.encode(record)), 5)
+        control.node.replica.saw_job(SPEC.id, Record(ended), 6)
+        assert (await control.withdraw(SPEC.id))[1] == wire.accepted(SPEC.id, ended.value)
+        return row
+
+    monkeypatch.setattr(control.store, "get", slow)
+    status, body, _ = curio.run(control.status_stored, SPEC.id)
+    assert (status, msgspec.json.decode(body)["status"]) == (200, ended.value)
+
+
+@pytest.mark.parametrize("asked", ("poll", "known"))
+def test_a_homes_answer_from_before_the_end_is_not_told_after_it(monkeypatch, asked):
+    control, _ = asking(monkeypatch)
+    answers = []
+    body = wire.job_status(SPEC.id, "running", 0, 1)
+
+    async def poll():
+        assert control.status_now(SPEC.id, answers.append) is None
+        control.node.replica.saw_job(SPEC.id, Record(JobState.ABORTED), 6)
+        await control.told(control.ask_count, m.Reply(control.ask_count, 200, body))
+
+    async def known():
+        async def ask(label, what, job):
+            control.node.replica.saw_job(SPEC.id, Record(JobState.ABORTED), 6)
+            return 200, body, []
+
+        control.ask = ask
+        answers.append(await control.known(SPEC.id))
+
+    curio.run(poll if asked == "poll" else known)
+    assert msgspec.json.decode(answers[0][1])["status"] == "aborted"
+
+
+# -- entering
+
+class Steps:
+    """A store whose answers to the steps of entering are lost; what they ask for is carried out now or late."""
+
+    def __init__(self, lose: str, late: bool) -> None:
+        self.t = 0.0
+        self.sim, self.lose, self.late = SimStore(self), lose, late
+        self.held_back = []
+
+    def step(self, name, action):
+        if name != self.lose:
+            return action()
+        self.lose = ""  # the first one only
+        if self.late:
+            self.held_back.append(action)
+        else:
+            action()
+        raise Unanswered(name)
+
+    async def get(self, key):
+        found = self.sim.data.get(key)
+        return self.step("get", lambda: None if found is None else wire.Row(key, msgspec.Raw(found[0]), found[1]))
+
+    async def hold(self, ttl_s):
+        def take():
+            permit = next(self.sim.permits)
+            self.sim.holds[permit] = 1e9
+            return permit
+        return self.step("hold", take)
+
+    async def commit(self, conditions, puts, drops=(), permit=None):
+        return self.step("commit", lambda: self.sim.commit(conditions, puts, drops, permit))
+
+    async def end(self, permit):
+        self.step("end", lambda: self.sim.end(permit))
+
+
+@pytest.mark.parametrize("late", (False, True))
+@pytest.mark.parametrize("lose", ("get", "hold", "commit", "end"))
+def test_whichever_step_of_entering_has_no_answer_the_label_has_one_key_of_its_hold(lose, late):
+    control = Controller(platform("host-0", ["host-0", "host-1"]), Tuning(), Poll())
+    control.store = steps = Steps(lose, late)
+    steps.sim.holds[1000] = 1e9
+    steps.sim.commit({}, {MEMBERS + "host-0": Presence(1000, c.GENERATION)}, (), 1000)  # an earlier life's
+
+    async def enter():
+        for _ in range(3):
+            if not control.membership.hold.permit:
+                try:
+                    await control.acquire_hold()
+                except (Unanswered, controller.Refused):
+                    pass
+
+    curio.run(enter)
+    for action in steps.held_back:
+        action()  # late, after newer ones
+    permit = control.membership.hold.permit
+    raw, _, attached = steps.sim.data[MEMBERS + "host-0"]
+    assert permit and msgspec.json.decode(raw, type=Presence).permit == permit == attached
+    assert permit in steps.sim.holds
+
+
+# -- all of it, in a world
+
+class LateNode(SimNode):
+    """For a while a share of its transactions has no answer and is carried out 2 to 12 s later, after newer ones."""
+
+    def call(self, then, fail, method, *args, too_large=None) -> None:
+        world, life = self.world, self.life
+        if method != world.store.commit or not 20.0 <= world.t < 80.0 or world.rng.random() >= world.late_writes:
+            return super().call(then, fail, method, *args, too_large=too_large)
+
+        def carry_out() -> None:
+            with contextlib.suppress(Refused, TooLarge):
+                method(*args)
+
+        def unanswered() -> None:
+            if life == self.life:
+                fail()
+                self.flush()
+
+        world.after(world.rng.uniform(2.0, 12.0), carry_out)
+        world.after(c.STATE_TIMEOUT_S, unanswered)
+
+
+class LateWorld(World):
+    process = LateNode
+    late_writes = 0.3
+
+
+@pytest.mark.parametrize("seed", (9500, 9501, 9502))
+def test_rules_hold_while_transactions_are_carried_out_late(seed):
+    """With all the world's other troubles; in the end every record of a machine is of one that is there."""
+    world = LateWorld(seed, pipelines=3)
+    world.run(200.0)
+    world.remembered()
+    assert world.starts > 0
