Users: a job that has no room here is asked for in the store before it is refused

A submission whose record is too long for what the store takes now was answered 400 from memory. While the store answers slowly the replica may not know yet that another controller has accepted the job, and its retry is never to be refused. As for 422, the store is asked first.

A submission that needs a job which is aborted meanwhile, stored late, was safe; its test is added.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -520,14 +520,14 @@
             return answer
         submission = node.submit(spec, now(), time.time())
         if submission is None:
-            return _too_long()
+            return await self.never(spec.id, "the job's description is too long", 400)
         await self.after()
         if not submission.outcome and not await self.wait_for(submission, c.SUBMIT_WAIT_S):
             return later("the state service is slow")
         if submission.outcome == "refused":
             return later("the state service is out of reach")
         if submission.outcome == "too long":
-            return _too_long()
+            return await self.never(spec.id, "the job's description is too long", 400)
         if submission.outcome == "accepted":
             ended = node.replica.ended.get(spec.id)
             return 201, wire.accepted(spec.id, "pending" if ended is None else ended.value), []
@@ -554,10 +554,10 @@
             node.saw_job(need, _record.decode(row.data), row.stamp)
         return None
 
-    async def never(self, job: str, why: str) -> Answer:
-        """422; a job that is known is never told this, so the store is asked before."""
+    async def never(self, job: str, why: str, refusal: int = 422) -> Answer:
+        """A job that is known is never told this, so the store is asked before."""
         status = await self.status(job)
-        return (422, wire.error(why), []) if status[0] == 404 else status
+        return (refusal, wire.error(why), []) if status[0] == 404 else status
 
     def never_runs(self, spec: wire.JobSpec) -> str:
         team = next((team for team in self.platform.settings.teams if team.name == spec.team), None)
@@ -713,9 +713,5 @@
         await self.after()
 
 
-def _too_long() -> Answer:
-    return 400, wire.error("the job's description is too long"), []
-
-
 def _wrong_method(allowed: str) -> Answer:
     return 405, wire.error("wrong method"), [("Allow", allowed)]
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -394,6 +394,23 @@
     assert there.node.state_here(SPEC.id, there.t)[0] == "pending"
 
 
+def test_a_submission_stored_late_though_what_it_needs_was_aborted_meanwhile_ends():
+    """The first try's record is active, the second one would be its end and meets the first."""
+    alone = Alone()
+    need = msgspec.structs.replace(SPEC, id="wk-000002")
+    alone.job(need)
+    submission = alone.node.submit(msgspec.structs.replace(SPEC, needs=[need.id]), alone.t, alone.t)
+    first = alone.lost()
+    alone.store.commit({}, {JOBS + need.id: Record(JobState.ABORTED)})
+    alone.follow()
+    assert not alone.carry_out(first).failed
+    alone.write()
+    assert submission.outcome == "known"
+    alone.follow()
+    alone.write()
+    assert alone.node.state_here(SPEC.id, alone.t) == ("aborted", 0, 0) and SPEC.id not in alone.node.home.jobs
+
+
 # -- lists beside records
 
 def test_lists_whose_drop_had_no_answer_are_dropped_again():
@@ -508,6 +525,29 @@
     assert msgspec.json.decode(answers[0][1])["status"] == "aborted"
 
 
+@pytest.mark.parametrize("found, status", [(True, 200), (False, 400), (None, 503)])
+def test_a_job_that_is_too_long_here_and_stored_elsewhere_is_known(monkeypatch, found, status):
+    """The store takes less than it did, its answers are slow, and the replica has yet to show the accepted job."""
+    control = Controller(platform("host-0", ["host-0", "host-1"]), Tuning(), Poll())
+
+    async def get(key):
+        if found is None:
+            raise Unanswered(key)
+        return wire.Row(key, msgspec.Raw(msgspec.json.encode(Record(JobState.ACTIVE, "host-1", 0.0, 3, [], SPEC))),
+                        5) if found else None
+
+    node = control.node
+    node.loaded, node.home.value_bytes = True, 200
+    node.learn_types(TYPES)
+    monkeypatch.setattr(control.store, "get", get)
+    monkeypatch.setattr(node.membership, "may_act", lambda now: True)
+    body = {"id": "wk-000001", "workload": "x", "owner": "free", "shape": "sweep", "urgency": "standard", "parts": 3,
+            "vcpus": 1.0, "accelerators": 0.0, "mem_gb": 1.0, "flavours": None, "site": None, "together": False,
+            "apart": False, "standby": True, "bundle": "i", "image_gb": 1.0, "expected_s": 10.0,
+            "snapshot_every_s": 0.0, "snapshot_s": 0.0, "due_s": None}
+    assert curio.run(control.submit, msgspec.json.encode(body))[0] == status
+
+
 # -- entering
 
 class Steps:
