Claims: what is on its way, or stored since, outlives reading the store anew

Trouble with following has everything read anew, and that took the leader's claims on their way for settled: planned without them, a job that they stopped asked for others' room, which the declared rules forbid. What has a stamp beyond the reading stays, and so does a transaction without an answer.

--- a/alderbridge/claims/ledger.py
+++ b/alderbridge/claims/ledger.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -96,12 +97,17 @@
 
     # -- facts of the store ------------------------------------------------
 
-    def clear(self) -> None:
-        """All is about to be read anew: what went unseen must not stay."""
-        self.entries.clear()
-        self.stops.clear()
-        self.spent, self.spent_stamp = Spent(), 0
-        self.enter()
+    def clear(self, epoch: float = math.inf) -> None:
+        """All is read anew, as it was at ``epoch``: what went unseen until then must not stay.
+
+        But what was stored since then is, and what is on its way or in doubt is so still, unless a newer view is among
+        what is read: planned without either, jobs that were stopped asked for others' room.
+        """
+        self.entries = {machine: entry for machine, entry in self.entries.items() if entry.stamp > epoch}
+        self.stops = {job: known for job, known in self.stops.items() if known[1] > epoch}
+        if self.spent_stamp <= epoch:
+            self.spent, self.spent_stamp = Spent(), 0
+        self.planned, self.dropping, self.forgetting = [], {}, {}
 
     def enter(self) -> None:
         """A new view: what was on its way under the older one is in the replica by now, or never will be."""
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -400,7 +400,7 @@
         self.replica.machines, self.replica.records = {}, {}
         self.membership.present.clear()
         self.declared.reload()
-        self.ledger.clear()
+        self.ledger.clear(epoch)
         for row in sorted(rows, key=lambda row: not row.key.startswith(LISTS)):  # before the records that name them
             newer = self.replica.apply(wire.Change(put=row.key, data=row.data, stamp=row.stamp)) or newer
         for change in changes:
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -15,6 +15,7 @@
 from alderbridge import constants as c
 from alderbridge import controller, declared, wire
 from alderbridge import mesh as m
+from alderbridge.claims import Claim, Ledger
 from alderbridge.config import Tuning
 from alderbridge.controller import Controller
 from alderbridge.declared import Declarations, Head, Revision, records, texts
@@ -23,7 +24,7 @@
 from alderbridge.net import Unanswered
 from alderbridge.node import Node
 from alderbridge.poll import Poll
-from alderbridge.store import DECLARED, JOBS, LISTS, MACHINES, MEMBERS, VIEW
+from alderbridge.store import BUDGETS, CLAIMS, DECLARED, JOBS, LISTS, MACHINES, MEMBERS, VIEW
 from alderbridge.view import Presence, View, choose
 
 SPEC = wire.JobSpec(id="wk-000001", job_class="x", team="free", kind="sweep", priority="standard", tasks=3, cpus=1.0,
@@ -468,6 +469,45 @@
     assert again.outcome == "known" and not [key for key in alone.store.data if key.startswith(LISTS)]
 
 
+# -- claims
+
+@pytest.mark.parametrize("failed", (False, True))
+def test_claims_on_their_way_are_not_forgotten_when_the_store_is_read_anew(failed):
+    """Under the same view they may yet be stored: planned without them, a job that they stop asked for others' room."""
+    ledger = Ledger()
+    ledger.plan([{"n-000001": Claim("urgent", "wk-000002", 1, [("wk-000001", 0, 7)], 0.0, 99.0, "free", 1.0)}])
+    first = ledger.due(1.0, 12, 4096)
+    if failed:
+        ledger.failed(first)
+    ledger.clear()  # and the rows that are read do not have them yet
+    assert ledger.busy, "nothing is planned before it is settled"
+    if not failed:
+        ledger.failed(first)
+    again = ledger.due(2.0, 12, 4096)
+    assert set(again.puts) == {BUDGETS}, "its stamp goes up: the first can't be carried out any more"
+    for key, value in first.puts.items():  # it was, before that
+        ledger.apply(key, msgspec.json.encode(value), 9)
+    ledger.failed(again)
+    assert ledger.due(3.0, 12, 4096) is None and not ledger.busy
+    assert ledger.claim_of("n-000001") is not None and "wk-000001" in ledger.stops
+
+
+def test_what_was_read_before_a_claim_was_stored_does_not_have_it_forgotten():
+    """Reading anew was slow, and its own transaction was answered in between: a job that was stopped asked for room."""
+    alone = Alone()
+    store, ledger = alone.store, alone.node.ledger
+    rows, epoch = store.rows(), store.epoch
+    ledger.plan([{"n-000001": Claim("urgent", "wk-000002", 1, [("wk-000001", 0, 7)], 0.0, 99.0, "free", 1.0)}])
+    alone.write()
+    assert ledger.claim_of("n-000001") is not None and "wk-000001" in ledger.stops
+    alone.node.load(rows, [], epoch, alone.t, alone.t)
+    assert ledger.claim_of("n-000001") is not None and "wk-000001" in ledger.stops
+    assert ledger.spent_stamp == store.data[BUDGETS][1]
+    store.commit({}, {}, [CLAIMS + "n-000001"])
+    alone.reload()
+    assert ledger.claim_of("n-000001") is None, "what went unseen does not stay"
+
+
 # -- declarations
 
 def test_the_answer_to_a_text_does_not_bring_it_back_when_another_head_has_dropped_it():
