Tests: a home that another replaces leaves one end or none

A transaction that ends a job had no answer, and its home goes: the new home finds the end or writes the only one.

--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -50,6 +50,16 @@
         self.node.load(self.store.rows(), [], self.store.epoch, self.t, self.t)
         self.view(self.me, *others)
 
+    def other(self, label: str) -> "Alone":
+        """The node of another member, at the same store."""
+        other = object.__new__(Alone)
+        other.t, other.store, other.me, other.permits = self.t, self.store, label, self.permits
+        other.node = Node(platform(label, LABELS[:3]), Tuning(), self.t)
+        other.node.learn_types(TYPES)
+        other.node.held(self.permits[label], self.t, self.t)
+        other.reload()
+        return other
+
     def come(self, label: str) -> None:
         permit = self.permits[label] = next(self.store.permits)
         self.store.holds[permit] = 1e9
@@ -359,6 +369,28 @@
     assert alone.node.state_here(SPEC.id, alone.t) == ("aborted", 0, 0)
 
 
+@pytest.mark.parametrize("carried_out", (False, True))
+def test_a_home_that_another_replaces_leaves_one_end_or_none(carried_out):
+    """Its last transaction had no answer: the new home finds the end, or writes the only one there will be."""
+    alone = Alone("host-1")
+    _, end = late_end(alone, "last task")
+    there = alone.other("host-1")
+    if carried_out:
+        alone.carry_out(end)
+    there.view("host-1")
+    assert alone.carry_out(end).failed, "it asserts the view"
+    told = there.node.state_here(SPEC.id, there.t)
+    assert told[0] == ("done" if carried_out else "pending"), "nobody was told of an end that is not stored"
+    there.go(2.0)
+    state = there.node.withdraw(SPEC.id, there.t)
+    there.write()
+    assert (state, there.node.state_here(SPEC.id, there.t)[0]) == (
+        ("done", "done") if carried_out else ("", "aborted"))
+    there.go(1.0)
+    assert msgspec.json.decode(there.store.data[JOBS + SPEC.id][0], type=Record).state.value == (
+        "done" if carried_out else "aborted")
+
+
 def test_progress_that_is_carried_out_late_takes_nothing_back():
     """Each write asserts the record's stamp: of two tries one is carried out, and what was done stays done."""
     alone = Alone()
@@ -390,14 +422,8 @@
 
 def test_a_submission_given_up_at_two_controllers_has_one_record_and_one_home():
     """Both are carried out late: the second meets the first one's record, whose home takes it in."""
-    alone, there = Alone("host-1"), Alone("host-1")
-    there.me = "host-1"
-    there.store, there.permits = alone.store, alone.permits
-    there.node = Node(platform("host-1", LABELS[:3]), Tuning(), 0.0)
-    there.node.learn_types(TYPES)
-    there.node.held(alone.permits["host-1"], 0.0, 0.0)
-    there.node.membership.followed(0.0)
-    there.node.load(alone.store.rows(), [], alone.store.epoch, 0.0, 0.0)
+    alone = Alone("host-1")
+    there = alone.other("host-1")
     late = []
     for one in (alone, there):
         one.node.submit(SPEC, one.t, one.t)
