Users: a job that was stored while the store was read is not called unknown

A slow read found no record, and another try of the same user's was accepted before its answer came: 404, or a 422 or 400 that rests on it, would be older than the 201. Where the job is known here by then the answer is 503, asked again.

tests/test_meetings_store.py: test_a_job_that_was_stored_while_the_store_was_read_is_not_called_unknown failed, passes.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -651,6 +651,8 @@
         except _TROUBLE:
             self.store_trouble()
             return later("the state service is out of reach")
+        if row is None and self.node.known(job):
+            return later("stored a moment ago")  # read before that, and its user may have been told since
         if row is None:
             return 404, wire.error("no such job"), []
         record = _record.decode(row.data)
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -586,6 +586,20 @@
     assert (status, msgspec.json.decode(body)["status"]) == (200, ended.value)
 
 
+def test_a_job_that_was_stored_while_the_store_was_read_is_not_called_unknown(monkeypatch):
+    """Another try of its user's was accepted meanwhile: no 404, and no refusal that rests on one."""
+    control, record = asking(monkeypatch)
+    control.node.replica.active.clear()
+
+    async def slow(key):
+        control.node.replica.saw_job(SPEC.id, record, 6)
+
+    monkeypatch.setattr(control.store, "get", slow)
+    assert curio.run(control.status_stored, SPEC.id)[0] == 503
+    control.node.replica.active.clear()
+    assert curio.run(control.never, SPEC.id, "unknown team")[0] == 503
+
+
 @pytest.mark.parametrize("asked", ("poll", "known"))
 def test_a_homes_answer_from_before_the_end_is_not_told_after_it(monkeypatch, asked):
     control, _ = asking(monkeypatch)
