--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -769,7 +769,7 @@
 
 @pytest.mark.parametrize("seed", (9500, 9501, 9502))
 def test_rules_hold_while_transactions_are_carried_out_late(seed):
-    """With all the world's other troubles; in the end every record of a machine is of one that is there."""
+    """With all the world's other troubles."""
     world = LateWorld(seed, pipelines=3)
     world.run(200.0)
     world.remembered()
