--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -563,8 +563,10 @@
         return now - max(machine.heard_at, now if self.listens_since is None else self.listens_since)
 
     def drops_due(self, now: float) -> list[str]:
-        """Records to be dropped: none until machines had time to report again after nobody could answer them."""
-        return self.to_drop if self.listens_since is not None and now - self.listens_since >= c.SILENT_S else []
+        """Records to be dropped: of lapsed machines none until they had time to report again, somebody listening."""
+        if self.listens_since is not None and now - self.listens_since >= c.SILENT_S:
+            return self.to_drop
+        return [name for name in self.to_drop if name in self.returned]
 
     def check_leases(self, now: float) -> None:
         """Machines whose lease has provably run out. While they report, a look is due once in most of a lease."""
@@ -610,6 +612,15 @@
         elif name in self.returned:
             self.to_drop.append(name)
 
+    def on_shown(self, name: str) -> None:
+        """The replica shows its record; where nothing is on the machine, a put was carried out late: it goes again.
+
+        Never taken for the word that it is recorded: a drop may be on its way, and no ``run`` before that is settled.
+        """
+        machine = self.machines.get(name)
+        if name in self.returned if machine is None else machine.state is MachineState.LAPSED:
+            self.to_drop.append(name)
+
     def check_silence(self, now: float) -> None:
         """One line a second until every machine is squared, given up or known to be silent."""
         waits = not self.squaring.over
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -13,7 +13,7 @@
 import itertools
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
@@ -88,6 +88,7 @@
     machines: list[str] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
     lists: list[tuple[Submission, str]] = field(default_factory=list)
+    old_lists: list[str] = field(default_factory=list)  # keys of lists that it drops
     proposal: Proposal | None = None  # then nothing else
     claims: Transaction | None = None  # then nothing else is in it
 
@@ -359,14 +360,24 @@
     def apply(self, changes: list[wire.Change], now: float, wall: float) -> None:
         """Changes of the store, in order."""
         self.now, self.wall = now, wall - now
+        shown: list[str] = []
         for change in changes:
             if self.replica.apply(change):
                 self.enter_view(now, wall)
             elif change.put is not None and change.put.startswith(JOBS):
                 self.take_in(change.put[len(JOBS):])
+            elif change.put is not None and change.put.startswith(MACHINES):
+                shown.append(change.put[len(MACHINES):])
+        self.look_at_shown(shown)
         self.follow_graph()
         self.follow_declared()
 
+    def look_at_shown(self, names: Iterable[str]) -> None:
+        """Records of machines that have arrived, some of them gone again."""
+        for name in names:
+            if name in self.replica.machines and self.membership.part_of(name) == self.me:
+                self.part.on_shown(name)
+
     def take_in(self, name: str) -> None:
         """A job that this process stored under this view and does not serve: its submission was given up meanwhile.
 
@@ -395,7 +406,7 @@
         self.replica.machines, self.replica.records = {}, {}
         self.membership.present.clear()
         self.declared.reload()
-        self.ledger.clear()
+        self.ledger.clear(epoch)
         for row in sorted(rows, key=lambda row: not row.key.startswith(LISTS)):  # before the records that name them
             newer = self.replica.apply(wire.Change(put=row.key, data=row.data, stamp=row.stamp)) or newer
         for change in changes:
@@ -403,6 +414,10 @@
         self.replica.epoch = epoch
         if newer:
             self.enter_view(now, wall)
+        # Read anew after trouble with following: what was carried out late meanwhile is among the rows, no change.
+        for name in list(self.replica.active):
+            self.take_in(name)
+        self.look_at_shown(self.replica.machines)
         self.follow_graph()
         self.follow_declared()
         if not self.types:
@@ -451,6 +466,8 @@
         self.desk.enter(members)
         self.dropping = [name for name in self.dropping if name in self.part.returned]
         self.drops_sent.clear()  # under an older view: carried out before this one, or never
+        # Its drop was overtaken by the view, or a late put brought the record back: no home need wait a lease for it.
+        self.dropping += self.part.on_gone([name for name in mine if name in self.part.returned])
         self.pump()
 
     # -- dependencies ----------------------------------------------------------
@@ -521,8 +538,8 @@
                 self.write_budget.spend(now, batch.changes)
                 return batch
         if drops := self.part.drops_due(now):
-            self.dropping += drops
-            self.part.to_drop = []
+            self.dropping = list(dict.fromkeys(self.dropping + drops))
+            self.part.to_drop = [name for name in self.part.to_drop if name not in drops]
         due = sorted(self.home.due_writes(now), key=lambda entry: entry[0])
         queue: list[Job | Submission] = [job for rank, job in due if rank < 2.0]
         queue += self.submissions.values()
@@ -554,6 +571,8 @@
                         break
                     batch.lists.append((entry, key))
                     batch.puts[key] = names
+                    # Carried out late, it must not come back when the job is over and its lists are dropped.
+                    batch.conditions[JOBS + job.spec.id] = 0
                     size += self.home.value_bytes
                 if entry.lists:
                     continue  # its record follows when they are stored
@@ -577,7 +596,8 @@
         batch.conditions |= {MACHINES + name: self.replica.machines.get(name, 0) for name in batch.gone}
         if batch.changes < plain:
             count = plain - batch.changes
-            batch.drops += self.dropping_lists[:count]  # unanswered, a list stays behind: it is never read again
+            batch.old_lists = self.dropping_lists[:count]
+            batch.drops += batch.old_lists  # nobody reads them: to drop them twice, or late, takes nothing away
             del self.dropping_lists[:count]
         if not batch.changes:
             return None
@@ -605,6 +625,8 @@
         """Refused, in conflict, or without an answer: all of it is due again."""
         for job, _, _ in batch.jobs:
             job.touch(now)
+        self.dropping_lists += batch.old_lists
+        batch.old_lists = []  # once: a conflict that can't be read fails again
         if batch.proposal is not None:
             self.declared.failed(batch.proposal, now)
         if batch.claims is not None:
@@ -639,9 +661,10 @@
         if batch.claims is not None:
             self.ledger.done(batch.claims, stamp)
         for name in batch.gone:
-            self._dropped(name)
-        for name in batch.machines:
-            self._recorded(name, stamp, current)
+            if not self._written_since(name, batch):
+                self._dropped(name)
+        for name in batch.machines if current else ():
+            self._recorded(name, stamp)
         for job, record, cleared in batch.jobs:
             if self.home.jobs.get(job.spec.id) is job:
                 self.home.written(job, record, stamp, cleared, now)
@@ -669,12 +692,22 @@
         if job.drained and self.home.jobs.get(job.spec.id) is job:
             self.home.leave(job)
 
-    def _recorded(self, name: str, stamp: int, current: bool) -> None:
+    def _recorded(self, name: str, stamp: int) -> None:
+        """Under the view in force: what was written under an older one the replica had when that ended.
+
+        Since then the machine's new part may have dropped the record. Kept here alone it stayed in the barrier of
+        later views, from which no part would ever strike it.
+        """
         self.replica.machines[name] = max(stamp, self.replica.machines.get(name, 0))
-        if current:
-            self.part.on_recorded(name)
-        elif name in self.part.to_record:
-            self.part.to_record.remove(name)
+        self.part.on_recorded(name)
+
+    def _written_since(self, name: str, batch: Batch) -> bool:
+        """Whether the replica has a newer record than the one that the batch was to drop.
+
+        An answer may come after the next view, whose part has recorded the machine anew. Taken for unrecorded, what
+        runs on it was free under the view after that, and started elsewhere.
+        """
+        return self.replica.machines.get(name, 0) > batch.conditions[MACHINES + name]
 
     def _dropped(self, name: str) -> None:
         self.replica.machines.pop(name, None)
@@ -687,11 +720,11 @@
 
         One that was sent may be carried out late, when tasks are on the machine again.
         """
-        for waiting in (self.part.to_drop, self.dropping):
-            if name in waiting and name not in self.drops_sent:
-                waiting.remove(name)
-                return True
-        return False
+        if name in self.drops_sent or not (name in self.part.to_drop or name in self.dropping):
+            return False
+        self.part.to_drop = [other for other in self.part.to_drop if other != name]
+        self.dropping = [other for other in self.dropping if other != name]
+        return True
 
     def reread(self, batch: Batch, key: str, row: wire.Row | None, now: float) -> None:
         """What the store holds under a key whose condition failed: decide anew."""
@@ -703,17 +736,20 @@
             # An earlier write of ours had no answer.
             name = key[len(MACHINES):]
             if name in batch.gone and row is None:
-                self._dropped(name)
+                if not self._written_since(name, batch):
+                    self._dropped(name)
+            elif not current:
+                pass  # what was read may be gone again, and the replica tells
             elif name in batch.gone and row is not None:
                 self.replica.machines[name] = row.stamp
             elif row is not None:
-                self._recorded(name, row.stamp, current)
+                self._recorded(name, row.stamp)
             return
         if row is None or batch.claims is not None:
             return  # claims in conflict are given up: the replica will show them
         record = _record.decode(row.data)
         name = key[len(JOBS):]
-        for submission, _ in batch.fresh:
+        for submission, _ in batch.fresh + batch.lists:
             job = submission.job
             if job.spec.id == name and not submission.outcome:
                 self.replica.saw_job(name, record, row.stamp)
