Machines that are deaf after a change of view lapse by their own reports

A machine that hears no answer reports on with the old mandate. Each report renewed the wait for its silence, so that its inherited tasks waited behind the barrier for as long as it was deaf; copies of a dead machine's reports did the same for up to two leases.

A report with an older mandate denies every earlier answer of this view, as a worker has one report in flight. A part whose member may not know a newer view concludes no lapse: it may act for longer than a lease, and the newer view's part renew it meanwhile.

Also: Home.on_seen's short way passed by Job.progress, so that a job was noted as begun only with its first end.

--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -632,7 +632,7 @@
                 run = job.runs.get(index) if job is not None else None
                 if (run is not None and run.attempt == task.attempt and run.machine == machine
                         and job.state is JobState.ACTIVE):
-                    run.state = state  # what nearly all tell: live, and known HERE; the table says PROGRESS
+                    job.progress(index, state)  # what nearly all tell: live, and known HERE; see the table
                     continue
             self._seen_task(label, seen, task, now)
         for name, index, attempt in seen.held:
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -76,6 +76,9 @@
         self.watched_at = now  # what ran here when this process first heard of it ran for longer than is known
         self.claim_halts: dict[Task, tuple[int, float]] = {}  # of ``halts``, those for the machine's claim
         self.heard_at = now  # receipt of the newest report, or the view's start
+        # What reports with an older mandate leave open of its lease: renewed at this moment, or by an answer whose
+        # mandate was at least that. Later reports bear the mandate of an answer that was accepted.
+        self.renewed_at, self.renewed_by = now, 0
         self.news = (0, 0)  # (tenure, counter) of the newest report
         # Since when only this process could have answered its reports; None: not yet.
         self.sole_since: float | None = None
@@ -174,6 +177,7 @@
         self.members: list[str] = []
         self._types: dict[str, MachineType] = {}
         self.settled_at: float | None = None  # since when all members act under this view
+        self.newest_until = math.inf  # no newer view had begun by then: its parts renew leases, too
         self.takes = 0
         self.longest_silent = -math.inf  # no lease counts from before this
 
@@ -203,6 +207,7 @@
         self.longest_silent = -math.inf
         for name, record in machines.items():
             machine = self.machines[name] = Machine(name, now)
+            machine.renewed_by = mandate
             machine.recorded = True
             machine.address, machine.type, machine.zone, machine.spot = (record.address, record.type, record.zone,
                                                                          record.spot)
@@ -217,6 +222,9 @@
                     machine.drain()
                 if continued and before.sole_since is not None:
                     machine.sole_since, machine.heard_at = before.sole_since, before.heard_at
+                    machine.renewed_at = before.heard_at
+                    if not before.acked:  # deaf for longer than that view lasted, it may be
+                        machine.renewed_at, machine.renewed_by = before.renewed_at, before.renewed_by
                 if carry and before.proven:
                     machine.carry(before)
         heard = {name: old[name].heard_at for name in self.machines if name in old}
@@ -263,7 +271,7 @@
             if beat.machine in self.returned:
                 return None
             machine = self.machines[beat.machine] = Machine(beat.machine, now)
-            machine.sole_since = self.settled_at
+            machine.sole_since, machine.renewed_by = self.settled_at, self.mandate
             log.info("machine=%s state=expected cause=first report", beat.machine)
         news = (beat.tenure, beat.counter)
         if news <= machine.news or machine.state is MachineState.GONE:
@@ -273,7 +281,8 @@
         machine.address = beat.address
         if beat.mandate < self.mandate:
             self.squaring.hear(machine.name)
-            return machine  # the answer brings the mandate; only a later report proves anything
+            self._not_renewed(machine, beat.mandate, now)
+            return machine  # the answer brings the mandate; only a later report proves what is there
         first = not machine.acked or machine.state is MachineState.LAPSED
         if first:
             if not machine.carried:
@@ -289,6 +298,20 @@
         self._reported(machine, beat, first, now)
         return machine
 
+    def _not_renewed(self, machine: Machine, mandate: int, now: float) -> None:
+        """A report with an older mandate, newer than all before, and not answered yet.
+
+        Whenever it was written, no answer with a higher mandate to a report before it was accepted, nor will be: it
+        would show here, and a worker has one report in flight. So the lease has not been renewed since. A machine that
+        does not hear its answers reports for as long as that lasts, and held up all that it might have run.
+        """
+        if mandate >= machine.renewed_by:  # an answer of a view between was accepted
+            machine.renewed_at, machine.renewed_by = now, self.mandate
+        elif not machine.acked and machine.state is not MachineState.LAPSED and machine.sole_since is not None:
+            since = max(machine.renewed_at, machine.sole_since)
+            if self._run_out(since, now):
+                self._lapse(machine, f"no answer accepted for {now - since:.1f} s")
+
     def _reported(self, machine: Machine, beat: Beat, tell: bool, now: float) -> None:
         """``tell``: homes are told, whatever it shows. What frees no task is told with the next other message."""
         old, tasks = machine.tasks, {}
@@ -534,14 +557,25 @@
             if machine.sole_since is None:
                 continue
             since = machine.heard_at if machine.acked else max(machine.heard_at, machine.sole_since)
-            if now - since <= wait:
+            if not self._run_out(since, now):
                 self.longest_silent = min(self.longest_silent, since)
             else:
-                log.info("machine=%s state=lapsed cause=silent for %.1f s", machine.name, now - machine.heard_at)
-                machine.lapse()
-                self.squaring.lapse(machine.name)
-                self.tell_homes(machine)
-                self._unrecord(machine)
+                self._lapse(machine, f"silent for {now - machine.heard_at:.1f} s")
+
+    def _run_out(self, since: float, now: float) -> bool:
+        """Whether a lease that nobody under this view has renewed after ``since`` has provably run out.
+
+        A newer view's part may have renewed it, unknown to a member that is cut off: so none had begun by its end.
+        """
+        lease = self.lease_s * (1 + 2 * c.CLOCK_DRIFT)
+        return now - since > lease + c.PROOF_MARGIN_S and self.newest_until - since > lease
+
+    def _lapse(self, machine: Machine, cause: str) -> None:
+        log.info("machine=%s state=lapsed cause=%s", machine.name, cause)
+        machine.lapse()
+        self.squaring.lapse(machine.name)
+        self.tell_homes(machine)
+        self._unrecord(machine)
 
     def _unrecord(self, machine: Machine) -> None:
         """Nothing is on it: no later view need wait for it, and none is to be made to."""
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -910,6 +910,7 @@
         if everyone or now > self.entered_at + self.membership.hold.ttl_s + c.PROOF_MARGIN_S:
             self.part.settle(now)
             self.home.settled = True
+        self.part.newest_until = self.membership.asked_at
         if self.may_act():
             self.part.check_leases(now)
         self.busy = None
