--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -408,6 +408,7 @@
     one.told_home()
     one.beat(7.0, 4, mandate=5, asked=True)
     assert not one.machine.acked and not one.told_home(), "nor is it one of the next view"
+    assert one.machine.news == (1, 2) and one.machine.heard_at == 1.0, "nor does it renew anything: commands do not"
     one.beat(8.0, 5, mandate=6, asked=True, tasks=[RUNNING])
     assert one.machine.acked and one.told_home() == [([0], [])]
 
@@ -609,3 +610,29 @@
     world.remembered()
     assert len(world.accepted) > 10
     assert not [job for job in world.accepted if world.said.get(job) != "done" and job not in world.cancelled_at]
+
+
+def test_a_member_cut_off_from_the_store_concludes_no_lapse_though_it_acts_for_longer_than_a_lease():
+    """A newer view may have begun, whose part renewed the lease: a home here would start elsewhere what still runs."""
+    world = Meetings(5, jobs=6)
+    world.run(40.0)
+
+    def just_heard():
+        for sim in world.nodes.values():
+            membership = sim.node.membership
+            acts_until = min(membership.hold.valid_until, membership.fresh_until)
+            for machine in sim.node.part.machines.values():
+                worker = world.machines.get(machine.name)
+                if machine.acked and worker is not None and machine.heard_at + OUT_S + 0.5 < acts_until:
+                    return sim, machine, worker
+        return None
+
+    while (found := just_heard()) is None:
+        world.run(world.t + 0.02)
+    sim, machine, worker = found
+    part, began = sim.node.part, world.t
+    sim.cut_store_until, worker.cut_until = began + 60.0, began + 60.0
+    while sim.node.membership.may_act(world.t):
+        assert machine.state is not MachineState.LAPSED
+        world.run(world.t + 0.05)
+    assert world.t > machine.heard_at + OUT_S and sim.node.part is part and part.machines[machine.name] is machine
