--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -466,8 +466,6 @@
         self.desk.enter(members)
         self.dropping = [name for name in self.dropping if name in self.part.returned]
         self.drops_sent.clear()  # under an older view: carried out before this one, or never
-        # Its drop was overtaken by the view, or a late put brought the record back: no home need wait a lease for it.
-        self.dropping += self.part.on_gone([name for name in mine if name in self.part.returned])
         self.pump()
 
     # -- dependencies ----------------------------------------------------------
@@ -968,6 +966,7 @@
         if everyone or now > self.entered_at + self.membership.hold.ttl_s + c.PROOF_MARGIN_S:
             self.part.settle(now)
             self.home.settled = True
+        self.part.newest_until = self.membership.asked_at
         if self.may_act():
             self.part.check_leases(now)
         self.busy = None
