Views: who does not know a view is given up only when no older one lets it act

Meetings: a member is cut off as the view asks for contact again after waiving it; or two of three as two others join. Records of firm views stay as they were.

--- a/alderbridge/contact.py
+++ b/alderbridge/contact.py
@@ -38,13 +38,14 @@
         self.label = label
         self.touch = Touch.HEARD
         self.heard_at: float | None = None  # its last frame under this mandate; None: the view has just arrived
+        self.knows = False  # the view: a frame of it has arrived under this mandate
         self.sure_at = sure_at  # when the newest message that it has acknowledged was first sent
         self.missing: frozenset[str] = frozenset()  # whom it last called silent
 
     # -- changes of state, one method each ---------------------------------
 
     def hear(self, now: float) -> None:
-        self.heard_at = now
+        self.heard_at, self.knows = now, True
         if self.touch is Touch.SILENT:
             self.touch = Touch.HEARD
 
@@ -63,6 +64,7 @@
         self.peers: dict[str, Peer] = {}
         self.given_up: dict[str, set[str]] = {}  # member -> those known to have given it up
         self.avoided: set[str] = set()  # removed because given up, and no frame under a newer view since
+        self.unheard_s = 0.0  # who has not been heard under this mandate is not given up sooner: a loose view
         self.enter((), 0.0, 0.0)
 
     def enter(self, members: Collection[str], contact_s: float, began_after: float) -> None:
@@ -128,7 +130,9 @@
                 continue
             if peer.touch is Touch.HEARD and quiet > self.contact_s - c.CONTACT_NOTICE_S:
                 peer.fall_silent()
-            if (peer.touch is Touch.SILENT and quiet > self.contact_s * (1 + c.CLOCK_DRIFT)
+            # Who was never heard may not know this view, and act under the one before.
+            bound_s = self.contact_s if peer.knows else max(self.contact_s, self.unheard_s)
+            if (peer.touch is Touch.SILENT and quiet > bound_s * (1 + c.CLOCK_DRIFT)
                     and self._missed_by(peer.label) >= self.majority):
                 peer.give_up()
                 self.given_up[peer.label].add(self.me)
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -486,7 +486,7 @@
         change = self.membership.next_view(now, self.most_changes - 1) if self.loaded else None
         if change is None:
             return None
-        view, stamps = change
+        view, stamps = self.membership.loosely(change[0], self.home.settled and self.inside), change[1]
         drops = [MEMBERS + label for label, stamp in stamps.items() if stamp and label not in view.members]
         return view, {VIEW: self.membership.mandate, **{MEMBERS + label: s for label, s in stamps.items()}}, drops
 
--- a/alderbridge/view.py
+++ b/alderbridge/view.py
@@ -18,6 +18,7 @@
     leader: str
     members: dict[str, int]  # label -> incarnation (the permit of its hold)
     contact_s: float = 0.0  # a member without contact for this long does not act, and may be removed; 0: no such rule
+    loose: bool = False  # who does not know this view may act under an older one, which contact does not bind so
 
 
 class Presence(msgspec.Struct, frozen=True):
@@ -110,6 +111,7 @@
         mine = view.members.get(self.me) == self.hold.permit
         self.contact.enter(view.members, view.contact_s,
                            max(self.asked_before, self.hold.begun_at if mine else float("-inf")))
+        self.contact.unheard_s = self.hold.ttl_s + c.PROOF_MARGIN_S if view.loose else 0.0
         self.homes, self.parts = {}, {}
         self.alike = self.all_run(c.RECOVERY)
         return True
@@ -186,6 +188,16 @@
         enough = len(members) >= c.CONTACT_LEAST and all(self.generations[label] >= c.CONTACT for label in members)
         return c.CONTACT_TTL_S if enough else 0.0
 
+    def loosely(self, view: View, settled: bool) -> View:
+        """The view that is to follow this one; ``settled``: each member acts under this one or not at all.
+
+        Between two views that ask for contact of the same labels, any two majorities have a process in common that
+        knows the newer one, so T binds who does not know it, too. Otherwise freshness alone does.
+        """
+        firm = self.view.contact_s > 0 and view.members.keys() == self.view.members.keys()
+        firm = firm and (settled or not self.view.loose)
+        return view if firm or not view.contact_s else msgspec.structs.replace(view, loose=True)
+
     def next_view(self, now: float, most: int = c.CONTACT_LEAST) -> tuple[View, dict[str, int]] | None:
         """The change this process should try now, with the stamps of members' keys to assert.
 
