Meetings of controllers: cut, refused, handed over; who lost its hold acknowledges nothing

A process whose hold is lost went on acknowledging as the member it was until a newer view reached it, so another that did not know that view either could count it for its contact.

--- a/tests/test_meetings_controllers.py
+++ b/tests/test_meetings_controllers.py
@@ -3,9 +3,13 @@
 import msgspec
 import pytest
 from test_contact import Ties
-from world import Broken
+from test_flapping import takes_itself_for_the_one_before
+from world import Broken, World
 
-from alderbridge.view import Membership, View
+from alderbridge import mesh as m
+from alderbridge.contact import Contact
+from alderbridge.node import Node
+from alderbridge.view import Hold, Membership, View
 
 
 def dark(world, ones, for_s):
@@ -95,3 +99,180 @@
         assert membership.loosely(View("a", after, 8.0), settled).loose is loose, (before, after, settled)
         assert not membership.loosely(View("a", after), settled).loose, "nothing is asked, nobody is given up"
     assert b"loose" not in msgspec.json.encode(View("a", members, 8.0)), "what older versions wrote stays as it was"
+
+
+def test_who_has_lost_its_hold_acknowledges_nothing_more():
+    """It enters anew under a view that it may be late to know; till then others counted it as who it was."""
+    world = World(15020, trouble=False, jobs=0)
+    world.run(20.0)
+    one, other = world.nodes["host-0"].node, world.nodes["host-1"].node
+    assert one.inside
+    before = one.channels["host-1"].received
+    one.membership.hold.lost()
+    for _ in range(2):
+        one.on_frame(other.channels["host-0"].post(m.Pulse(), world.t), world.t)
+    assert one.channels["host-1"].received == before
+
+
+# -- a leader that users and workers still reach, and nobody else -------------------
+
+class Severed(World):
+    """Users cancel through the others, and ask all of them, the cut one above all, all the time."""
+
+    cut = ""
+
+    def make_job(self, number):
+        spec = super().make_job(number)
+        return msgspec.structs.replace(spec, estimate_s=spec.estimate_s * 4.0)
+
+    def withdraw(self, job):
+        if job in self.said:
+            return
+        for label, sim in self.nodes.items():
+            if label != self.cut and sim.node is not None and sim.node.home_of(job) == label:
+                self.cancelled_at.setdefault(job, float("inf"))
+                state = sim.node.withdraw(job, self.t)
+                if state:
+                    self.answer(job, state)
+                    if state == "aborted":
+                        self.cancelled_at[job] = min(self.cancelled_at[job], self.t)
+                        return
+        self.after(0.2, self.withdraw, job)
+
+    def ask_all(self):
+        for job in sorted(self.accepted):
+            for label in (self.cut, *self.labels):
+                state = self.question(self.nodes[label], job)
+                if state is not None:
+                    self.answered_at[job] = self.t
+                    self.answer(job, state)
+        self.after(0.4, self.ask_all)
+
+
+def severed(seed, nodes, for_s=45.0, from_peers=True):
+    world = Severed(seed, nodes=nodes, jobs=24, trouble=False)
+    world.run(60.0)
+    world.cut = next(iter(world.nodes.values())).node.membership.view.leader
+    sim = world.nodes[world.cut]
+    sim.cut_store_until = world.t + for_s
+    if from_peers:
+        sim.cut_mesh_until = world.t + for_s
+    world.ask_all()
+    for number, job in enumerate(sorted(world.accepted - world.said.keys())[::2]):
+        world.after(0.5 * number, world.withdraw, job)
+    world.run(60.0 + for_s + 60.0)
+    world.remembered()
+    assert all(sim.node.may_act() for sim in world.nodes.values())
+    return world
+
+
+@pytest.mark.parametrize("nodes", (3, 5))
+@pytest.mark.parametrize("waived", (False, True))
+@pytest.mark.parametrize("from_peers", (True, False))
+def test_a_leader_that_only_users_and_workers_reach_tells_nothing_older(monkeypatch, nodes, waived, from_peers):
+    if waived:
+        monkeypatch.setattr(Membership, "_contact_for", lambda self, members: 0.0)
+    world = severed(15100 + nodes + 2 * waived, nodes, from_peers=from_peers)
+    assert "aborted" in world.said.values()
+
+
+# -- the store refuses the leader alone, and then everybody ---------------------------
+
+def refused(seed, nodes, alone_s, all_s):
+    """Its follow hangs, its calls are refused; the others cancel its jobs; then the store is down, and holds last."""
+    world = Severed(seed, nodes=nodes, jobs=24, trouble=False)
+    world.run(60.0)
+    world.cut = world.nodes[world.labels[0]].node.membership.view.leader
+    world.nodes[world.cut].cut_store_until = 60.0 + alone_s + all_s
+    world.ask_all()
+    for number, job in enumerate(sorted(world.accepted - world.said.keys())[::2]):
+        world.after(0.5 * number, world.withdraw, job)
+    world.after(alone_s, world.store.outage, all_s)
+    world.run(60.0 + alone_s + all_s)
+    acted = [sim.label for sim in world.nodes.values() if sim.node.may_act()]
+    world.run(60.0 + alone_s + all_s + 50.0)
+    world.remembered()
+    assert all(sim.node.may_act() for sim in world.nodes.values())
+    return world, acted
+
+
+@pytest.mark.parametrize("nodes, alone_s, all_s", [(3, 6.0, 45.0), (5, 15.0, 45.0), (5, 25.0, 12.0), (3, 19.0, 4.0)])
+def test_a_leader_refused_alone_and_then_all_tell_and_run_nothing_older(nodes, alone_s, all_s):
+    world, acted = refused(15200, nodes, alone_s, all_s)
+    assert world.cut not in acted and (not acted or all_s < 20.0), "each copy of the store is too old by then"
+    assert "aborted" in world.said.values()
+
+
+# -- handed over and back within a second ---------------------------------------------
+
+def handed_over(seed, nodes, stay=None):
+    """All end one after the other, twice, and once together; with ``stay`` alone back at first, a second later."""
+    world = World(seed, nodes=nodes, jobs=24, trouble=False, pipelines=2)
+    world.late_share = 0.2  # frames of each life arrive in the next ones
+    for number, label in enumerate([*world.labels, *world.labels]):
+        world.after(40.0 + 0.3 * number, world.end, world.nodes[label], 0.15)
+    for label in world.labels:
+        world.after(46.0, world.end, world.nodes[label], 0.2 if label == stay else 1.0 if stay is None else 7.0)
+    if stay is not None:  # in the middle of the election
+        world.after(46.7, world.end, world.nodes[stay], 0.15)
+    world.run(53.0)
+    world.late_share, starts = 0.001, world.starts
+    world.run(90.0)
+    assert world.starts > starts and world.store.differs_since is None
+    assert all(sim.node.may_act() for sim in world.nodes.values())
+    world.run(200.0)
+    world.remembered()
+    assert not world.halted_needed
+
+
+@pytest.mark.parametrize("seed, nodes, stay", [(15300, 3, None), (15301, 5, None), (15302, 3, "host-2"),
+                                               (15303, 5, "host-0"), (15304, 5, "host-4")])
+def test_controllers_that_hand_over_and_back_within_a_second_halt_and_forget_nothing(seed, nodes, stay):
+    handed_over(seed, nodes, stay)
+
+
+def test_that_is_seen_when_a_process_takes_itself_for_its_earlier_life(monkeypatch):
+    takes_itself_for_the_one_before(monkeypatch)
+    with pytest.raises(AssertionError):
+        handed_over(15300, 3)
+
+
+# -- each guard is seen to be needed ---------------------------------------------------
+
+def no_contact_needed(monkeypatch):
+    monkeypatch.setattr(Contact, "_reckon", lambda self: setattr(self, "until", float("inf")))
+
+
+def stale_for_ever(monkeypatch):
+    """Waived, its copy of the store and its hold alone stop it."""
+    monkeypatch.setattr(Membership, "_contact_for", lambda self, members: 0.0)
+    ever = property(lambda self: float("inf"), lambda self, at: None)
+    monkeypatch.setattr(Membership, "fresh_until", ever, raising=False)
+    monkeypatch.setattr(Hold, "valid_until", ever, raising=False)
+
+
+def memory_without_entitlement(monkeypatch):
+    real = Node.state_here
+
+    def state_here(self, job, now):
+        kept, self.may_act = self.may_act, lambda: True
+        try:
+            return real(self, job, now)
+        finally:
+            self.may_act = kept
+
+    monkeypatch.setattr(Node, "state_here", state_here)
+
+
+def test_a_refused_leader_is_seen_to_act_on_when_hold_and_freshness_are_away(monkeypatch):
+    stale_for_ever(monkeypatch)
+    world, acted = refused(15200, 3, 6.0, 45.0)
+    assert world.cut in acted
+
+
+@pytest.mark.parametrize("fault", [no_contact_needed, stale_for_ever, memory_without_entitlement])
+def test_each_guard_of_the_cut_leader_is_seen_to_be_needed(monkeypatch, fault):
+    fault(monkeypatch)
+    with pytest.raises(Broken, match="went_back|ran_twice|ran_cancelled"):
+        for seed in range(15100, 15104):
+            severed(seed, 5)
