Health: who may not act and hears no majority leaves its users to the others

A controller cut from the store and the others is not overtaken by what it hears, and was called healthy: connections stay with it, and their users are told nothing of any job for as long as the cut.

--- a/alderbridge/contact.py
+++ b/alderbridge/contact.py
@@ -156,6 +156,11 @@
         """
         return 1 + sum(peer.touch is Touch.HEARD and label in peer.missing for peer in self.peers.values())
 
+    def alone(self, now: float) -> bool:
+        """Whether no majority, this member counted, was heard lately: the others may serve everybody without it."""
+        heard = sum(peer.heard_at is None or now - peer.heard_at < c.CONTACT_TTL_S for peer in self.peers.values())
+        return 1 + heard < self.majority
+
     def missing(self) -> list[str]:
         """Members that are not heard, given up or not; for the others."""
         return [label for label, peer in self.peers.items() if peer.touch is not Touch.HEARD]
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -453,7 +453,10 @@
 
     def health(self) -> Answer:
         standing = self.membership.standing(now())
-        overtaken = any(ch.peer_mandate > self.membership.mandate for ch in self.node.channels.values())
+        # Lapsed in an outage that all share it stays: it can tell of ended jobs, and is there when the store is. Not so
+        # one that others may have replaced: users whose connections stay with it would be told nothing of any job.
+        overtaken = (any(ch.peer_mandate > self.membership.mandate for ch in self.node.channels.values())
+                     or self.membership.contact.alone(now()))
         if not self.node.loaded or standing is Standing.OUTSIDE or (standing is Standing.LAPSED and overtaken):
             return later("not taking part")
         return 200, b'{"status":"ok"}', []
--- a/tests/test_meetings_controllers.py
+++ b/tests/test_meetings_controllers.py
@@ -1,15 +1,23 @@
 """Meetings of troubles with controllers: cut, refused, handed over and back, with users and workers still in reach."""
 
+import curio
 import msgspec
 import pytest
 from test_contact import Ties
 from test_flapping import takes_itself_for_the_one_before
-from world import Broken, World
+from world import Broken, World, platform
 
+from alderbridge import constants as c
+from alderbridge import controller, wire
 from alderbridge import mesh as m
+from alderbridge.config import Tuning
 from alderbridge.contact import Contact
+from alderbridge.controller import Controller
+from alderbridge.jobs import JobState, Record
+from alderbridge.machines import Machine
 from alderbridge.node import Node
-from alderbridge.view import Hold, Membership, View
+from alderbridge.poll import Poll
+from alderbridge.view import Hold, Membership, Standing, View
 
 
 def dark(world, ones, for_s):
@@ -276,3 +284,70 @@
     with pytest.raises(Broken, match="went_back|ran_twice|ran_cancelled"):
         for seed in range(15100, 15104):
             severed(seed, 5)
+
+
+# -- the whole controller -----------------------------------------------------------------
+
+LABELS = ["host-0", "host-1", "host-2"]
+
+
+@pytest.fixture
+def control(monkeypatch):
+    """One of three, with a clock that the test moves: ``clock[0]``."""
+    clock = [100.0]
+    monkeypatch.setattr(controller, "now", lambda: clock[0])
+    one = Controller(platform("host-0", LABELS), Tuning(), Poll())
+    node = one.node
+    node.membership.hold.renewed(1, 100.0, 100.0)
+    node.membership.followed(100.0)
+    members = {label: number for number, label in enumerate(LABELS, 1)}
+    node.load([wire.Row("ab/view", msgspec.Raw(msgspec.json.encode(View("host-0", members))), 7)], [], 7, 100.0, 100.0)
+    one.clock = clock
+    return one
+
+
+def test_who_is_cut_off_from_all_leaves_its_users_to_the_others_and_who_shares_an_outage_stays(control):
+    """Connections stay with a node that is called healthy: their users would be told nothing for as long as the cut."""
+    contact = control.membership.contact
+    for label in LABELS[1:]:
+        contact.hear(label, 100.0, 100.0)
+    assert control.health()[0] == 200
+    control.clock[0] = 130.0  # the store is down for all, the others are heard
+    for label in LABELS[1:]:
+        contact.hear(label, 129.0, 129.0)
+    assert control.membership.standing(130.0) is Standing.LAPSED and control.health()[0] == 200
+    control.clock[0] = 140.0
+    assert control.health()[0] == 503
+
+
+def test_a_reply_that_comes_after_the_store_was_asked_is_told_to_nobody(control):
+    """The home's answer is older than the store's by then."""
+    told, job = [], "wk-000001"
+    control.node.replica.active[job] = (
+        msgspec.structs.replace(Record(JobState.ACTIVE, "host-1", 0.0, 1, [], None)), 8)
+
+    async def store_says(key):
+        return wire.Row(key, msgspec.Raw(msgspec.json.encode(Record(JobState.ABORTED))), 9)
+
+    async def play():
+        control.store.get = store_says
+        assert control.status_now(job, told.append) is None
+        number = next(iter(control.polls))
+        control.clock[0] += c.ASK_S + 0.1
+        await control.after()
+        await curio.sleep(0.05)
+        control.node.replies.append(m.Reply(number, 200, wire.job_status(job, "running", 0, 1)))
+        await control.after()
+        await curio.sleep(0.05)
+
+    curio.run(play)
+    assert len(told) == 1 and b"aborted" in told[0][1]
+
+
+def test_a_report_is_answered_under_the_view_it_was_taken_in_or_not_at_all(control):
+    """Its answer waited for grants; a newer view arrives, or the hold ends, before they do."""
+    machine = Machine("n-1", 100.0)
+    assert control.beat_answer(machine, 7)[0] == 200
+    assert control.beat_answer(machine, 6)[0] == 503
+    control.clock[0] = 130.0
+    assert control.beat_answer(machine, 7)[0] == 503
