--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -273,6 +273,8 @@
             return
         body = None
         if frame.mandate != membership.mandate or membership.contact.takes(frame.sender):
+            if membership.standing(now) is Standing.OUTSIDE:
+                self.inside = False  # its hold is lost: its acknowledgement would count for who it was
             if self.inside or isinstance(frame.body, m.Ask | m.Reply):
                 body = channel.receive(frame, now)
             else:
@@ -508,7 +510,7 @@
         change = self.membership.next_view(now, self.most_changes - 1) if self.loaded else None
         if change is None:
             return None
-        view, stamps = change
+        view, stamps = self.membership.loosely(change[0], self.home.settled and self.inside), change[1]
         drops = [MEMBERS + label for label, stamp in stamps.items() if stamp and label not in view.members]
         return view, {VIEW: self.membership.mandate, **{MEMBERS + label: s for label, s in stamps.items()}}, drops
 
