--- a/alderbridge/store.py
+++ b/alderbridge/store.py
@@ -67,6 +67,8 @@
 
     async def get(self, key: str) -> wire.Row | None:
         status, answer = await self._call("GET", f"/kv/{key}")
+        if status not in (200, 404):  # no word of the key: told as 404, an accepted job was forgotten
+            raise Refused(f"get {key}: {status}")
         return _row.decode(answer) if status == 200 else None
 
     async def page(self, prefix: str, after: str | None) -> wire.Rows:
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -13,7 +13,7 @@
 from world import LABELS, TYPES, Refused, SimNode, SimStore, TooLarge, World, platform
 
 from alderbridge import constants as c
-from alderbridge import controller, declared, wire
+from alderbridge import controller, declared, store, wire
 from alderbridge import mesh as m
 from alderbridge.claims import Claim, Ledger
 from alderbridge.config import Tuning
@@ -774,3 +774,19 @@
     world.run(200.0)
     world.remembered()
     assert world.starts > 0
+
+
+@pytest.mark.parametrize("status", (400, 401, 418))
+def test_only_the_stores_word_that_there_is_no_key_counts_as_none(status):
+    """Any other answer was taken for it: an accepted job would have been told 404."""
+    client = store.Store("127.0.0.1:1")
+
+    async def answer(*_args, **_more):
+        return answered
+
+    client.client.request = answer
+    answered = status, b"{}"
+    with pytest.raises(store.Refused):
+        curio.run(client.get, JOBS + "wk-000001")
+    answered = 404, b"{}"
+    assert curio.run(client.get, JOBS + "wk-000001") is None
