An end whose write had no answer is not written active again under the next view

Cause: a change of view brought the stamp of the end that had been carried out, and the job that went on still held active for its stored state; before the view settles that is what an inherited job writes. Users had been told aborted. Change: enter_view takes the end with its stamp.

--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -456,6 +456,13 @@
                         job = Job(record, stamp, now, max(0.0, wall - record.at), fresh=waits)
                         job.inherited = True
                         self.place_in_graph(job)
+                    elif record.state is not JobState.ACTIVE and job.stored_state is JobState.ACTIVE:
+                        # A write of its end had no answer, and was carried out: others may have told it. Taken for
+                        # active until the view has settled, it was written so again, with the stamp of its end.
+                        job.end(record.state)
+                        job.stored_state = record.state
+                        job.touch(now)
+                        self.news.append(name)
                     job.stamp = max(job.stamp, stamp)
                     jobs[name] = job
         recorded = {name: self.replica.record(name) for name in self.replica.machines} if inside else {}
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -369,6 +369,27 @@
     assert alone.node.state_here(SPEC.id, alone.t) == ("aborted", 0, 0)
 
 
+def test_an_end_that_was_carried_out_is_not_written_active_again():
+    """Told as cancelled from the store by then: before the view has settled an inherited job may not end here, and what
+    was taken for its stored state was written over its end, with the end's stamp (found by a random run)."""
+    alone = Alone("host-1")
+    job = alone.job()
+    alone.runs(job, "n-000001", 0)  # something is left to stop, so that its record keeps what it asked for
+    job.inherited = True
+    assert alone.node.withdraw(SPEC.id, alone.t) == ""
+    alone.node.home.settled = True
+    alone.carry_out(alone.lost())
+    alone.view("host-1", "host-0")
+    assert not alone.node.home.settled and SPEC.id in alone.node.home.jobs
+    for _ in range(5):
+        alone.write(3)
+        alone.follow()
+        alone.t += 1.0
+        record = msgspec.json.decode(alone.store.data[JOBS + SPEC.id][0], type=Record)
+        assert record.state is JobState.ABORTED
+    assert alone.node.state_here(SPEC.id, alone.t) == ("aborted", 0, 0)
+
+
 @pytest.mark.parametrize("carried_out", (False, True))
 def test_a_home_that_another_replaces_leaves_one_end_or_none(carried_out):
     """Its last transaction had no answer: the new home finds the end, or writes the only one there will be."""
