Simulated world: lost answers before refusals, cancels with them, reading all anew as an option

Trouble with following has the program read everything anew; the world only asked again. The store's refusal of one is now led up to by lost answers and cancellations.

--- a/tests/world.py
+++ b/tests/world.py
@@ -196,7 +196,7 @@
         world.prepare(self.node)
         self.busy = self.entering = False
         self.rests_until = 0.0
-        self.follow_busy = False
+        self.follow_busy = self.reads_all = False
         self.links = dict.fromkeys(self.links, 0.0)  # new connections: what the earlier life sent may come after
         self.dead_links = set()
         for other in world.nodes.values():
@@ -328,25 +328,30 @@
         self.follow_busy = True
         sent = world.t
 
-        def read():
+        def read(since: int | None = None):
             store.check()
-            if node.loaded:
-                return [], self.seen(store.since(node.replica.epoch)), store.epoch
-            return self.seen(store.rows()), [], store.epoch
-
-        def done(answer):
+            if since is None and (self.reads_all or not node.loaded):
+                return self.seen(store.rows()), [], store.epoch
+            return None, self.seen(store.since(node.replica.epoch if since is None else since)), store.epoch
+
+        def done(answer, rows=None, sent=sent):
+            rows, changes, epoch = answer if rows is None else (rows, *answer[1:])
+            if rows is not None and node.loaded and self.reads_all:  # then what has changed since the first row
+                self.reads_all = False
+                self.call(lambda answer, sent=world.t: done(answer, rows, sent), failed, read, epoch)
+                return
             self.follow_busy = False
-            rows, changes, epoch = answer
             node.membership.followed(sent)
-            if node.loaded:
+            if rows is None:
                 node.apply(changes, world.t, world.t + self.ahead_s)
                 node.replica.epoch = epoch
             else:
                 node.load(rows, changes, epoch, world.t, world.t + self.ahead_s)
-            world.followed(self, [*rows, *changes])
+            world.followed(self, [*(rows or ()), *changes])
 
         def failed():
             self.follow_busy = False
+            self.reads_all = world.reloads and node.loaded  # as the program does after any trouble with following
 
         self.call(done, failed, read)
 
@@ -754,6 +759,7 @@
         self.rng = random.Random(seed)
         self.slow, self.meets = slow, meetings > 0
         self.copied_share, self.copies_until = 0.0, 0.0  # of workers' reports, of which a copy arrives late
+        self.reloads = False  # trouble with following has a controller read everything anew
         self.calm_at = 0.0  # when the last trouble of the meetings is over
         self.ask_numbers, self.asking = itertools.count(1), {}  # question to a job's home -> who gets the answer
         self.upgrade, self.coming, self.most_machines, self.rush = upgrade, coming, machines, rush
@@ -1192,10 +1198,9 @@
             if rng.random() < 0.5:
                 sim.mesh_held_until = self.t + c.MESH_STALL_S
         elif kind == "refused":
-            sim.refused_until, sim.follow_hangs = self.t + length, True
-            if rng.random() < 0.6:
-                self.after(rng.uniform(0.0, length), self.store.outage,
-                           CANCEL_S + rng.uniform(1.0, 10.0) if rng.random() < 0.5 else rng.uniform(2.0, 25.0))
+            if rng.random() < 0.5:  # at first it carries things out, and the answers are lost
+                self.store.late_share, self.store.late_until = 0.8, self.t + 3.0
+            self.after(rng.uniform(0.0, 3.0), self.refuse, sim, length)
         elif kind.startswith("cut") and kind != "cut_machine":
             if kind in ("cut", "cut_store"):
                 sim.cut_store_until = self.t + length
@@ -1220,6 +1225,14 @@
             else:
                 worker.recall_at = self.t + rng.uniform(2.0, 15.0)
 
+    def refuse(self, sim: SimNode, for_s: float) -> None:
+        """The store refuses one, and while that lasts it is down for all, maybe for longer than ``cancel_s``."""
+        rng = self.rng
+        sim.refused_until, sim.follow_hangs = self.t + for_s, True
+        if rng.random() < 0.6:
+            self.after(rng.uniform(0.0, min(for_s, 20.0)), self.store.outage,
+                       CANCEL_S + rng.uniform(1.0, 10.0) if rng.random() < 0.5 else rng.uniform(2.0, 25.0))
+
     def meeting(self, at: float) -> None:
         """Two troubles or three that overlap, and users who cancel a moment before them and while they last."""
         rng = self.rng
@@ -1240,6 +1253,9 @@
         rng = self.rng
         leader = msgspec.json.decode(self.store.data[VIEW][0], type=View).leader if VIEW in self.store.data else ""
         sim = self.nodes[leader if leader and rng.random() < 0.6 else rng.choice(self.labels)]
+        if kind in ("refused", "cut_alone", "late_writes"):
+            for _ in range(rng.randint(0, 3)):
+                self.after(rng.uniform(0.0, 4.0), self.cancel_any)
         for _ in range(rng.choice([1, 2, 4, 8]) if kind in ("deaf", "held_up", "hang", "cut_machine") else 1):
             self.bring(kind, sim, length)
 
