Renting follows the order in which a team's allowances are given

Cause: of a team's limit, renting served the soonest deadline, allowances what stands first in placement. Change: Leader.demands divides the limit in the order of placement.

--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -145,16 +145,24 @@
                 and (self.listed or now - self.since > 2 * self.lag_s))
 
     def demands(self, now: float) -> list[Demand]:
-        result = []
+        """What waits, soonest deadline first.
+
+        Of a team's limit, what its allowances are given for: in another order a machine was rented for one job and the
+        allowance kept for another that could not use it, and where all were late neither ever began.
+        """
+        waiting = []
         for queue, at in self.queues.values():
             for row in queue.rows:
                 spec = self.replica.spec(row.job)
                 if spec is not None:
                     count = max(0, row.waiting - self.lent(row, spec))
                     count += row.inherited if self.hold_back.counts_inherited else 0
-                    result.append(Demand(spec, count, row.due_in_s - (now - at), row.run_s, row.zone))
+                    demand = Demand(spec, count, row.due_in_s - (now - at), row.run_s, row.zone)
+                    waiting.append((placement.order(row, spec, row.due_in_s), demand))
+        waiting.sort(key=lambda entry: entry[0])
+        result = self._within_limits([demand for _, demand in waiting])
         result.sort(key=lambda demand: demand.due_in_s)
-        return self._within_limits(result)
+        return result
 
     def _within_limits(self, demands: list[Demand]) -> list[Demand]:
         """A team's tasks beyond its limit cannot run at once: they ask for nothing."""
@@ -164,7 +172,7 @@
             for team, (want, _) in queue.want.items():
                 if team in left:
                     left[team] -= want
-        # ``want`` counts what waits as well: give that back, soonest deadline first.
+        # ``want`` counts what waits as well: give that back.
         for demand in demands:
             if demand.spec.team in left:
                 left[demand.spec.team] += demand.count * demand.spec.cpus
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,8 +7,14 @@
 import pytest
 
 from alderbridge import placement, policy
-from alderbridge.config import Objective, Tuning
+from alderbridge.config import Objective, Team, Tuning
+from alderbridge.dependencies import Graph
+from alderbridge.jobs import JobState, Record
+from alderbridge.leader import Leader
+from alderbridge.mesh import Queue, QueueRow, Room, RoomRow
 from alderbridge.policy import Demand, Kind, Market, Resource
+from alderbridge.replica import Replica
+from alderbridge.view import Membership
 from alderbridge.wire import JobSpec, MachineType
 
 BIG = MachineType(name="big", cpus=8.0, memory_gb=32.0, price=1.0, spot_price=0.3, boot_s=40.0, zones=["a"])
@@ -193,3 +199,26 @@
     homes = {"a": 60.0, "b": 0.0}
     shares = policy.divide(100.0, dict(homes), dict(homes), {"a": 60.0, "b": 0.0}, [("b", 30.0), ("a", 50.0)])
     assert shares == {"a": 70.0, "b": 30.0}
+
+
+def test_what_is_rented_is_for_what_the_teams_allowance_is_kept_for():
+    """The machine was there for one job, the limit kept for another that can't use it: neither ever began."""
+    membership = Membership("host-0", 20.0, 12.0)
+    known = Replica(membership, Graph(lambda spec: 1.0, []))
+    leader = Leader([Team("t", cpus_max=16.0)], ["a"], Tuning(), known, 1.0, 17.0)
+    leader.on_types({"large": MachineType(name="large", cpus=16.0, memory_gb=64.0, price=1.0, spot_price=0.3,
+                                          boot_s=10.0, zones=["a"])})
+    leader.enter(["host-0", "host-1"], 0.0)
+    leader.listed = True
+    first = spec(tasks=6, cpus=4.0, spot=False)
+    other = msgspec.structs.replace(first, id="wk-2", priority="best_effort", tasks=13, cpus=2.0, spot=True)
+    for label, one in (("host-1", other), ("host-0", first)):
+        known.saw_job(one.id, Record(JobState.ACTIVE, label, 0.0, one.tasks, [], one), 1)
+        row = QueueRow(one.id, one.tasks, 0, 120.0, 10.0, None, 300.0, True, False)
+        leader.on_queue(label, Queue([row], {}, {}, {"t": (one.tasks * one.cpus, 0.0)}, 0), 1.0)
+        leader.on_room(label, Room([]), 1.0)
+    leader.on_rented(Kind("large", "a", True), ["n-1"], 0.0)
+    leader.on_room("host-0", Room([RoomRow("n-1", "large", "a", True, "up", 9.0, (16.0, 64.0, 0.0), [], 1.0)]), 1.0)
+    allowed = leader.allots()
+    assert allowed["host-0"]["t"][0] == 16.0
+    assert [kind for kind, _ in leader.decide(1.0).rent] == [Kind("large", "a", False)]
