--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -283,7 +283,8 @@
     assert contact.dropped() == ["c"] and contact.until > 26.9, "b misses it, too"
 
 
-@pytest.mark.parametrize("generations, asked", [([4, 4, 4], True), ([4, 4, 3], False), ([4, 4], False)])
+@pytest.mark.parametrize("generations, asked", [
+    ([c.CONTACT] * 3, True), ([c.CONTACT, c.CONTACT, c.CONTACT - 1], False), ([c.CONTACT] * 2, False)])
 def test_a_view_asks_for_contact_only_of_three_that_all_know_of_it(generations, asked):
     membership = Membership("host-0", 20.0)
     membership.hold.renewed(1, 0.0)
