--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -7,7 +7,7 @@
 after the others, each by itself, and have to fail.
 
 Exit status: 0 the suite passes and each listed test fails; 1 else: the suite fails, a line is malformed or one too
-many, its id names no test or more than one, or its test passes.
+many, its id names no test or more than one, or its test passes; 2 no such folder.
 
 pytest loads this file as a plugin, too: ``--deselect`` goes by how an id begins, and would pass over others with it.
 """
@@ -87,6 +87,9 @@
 
 def main() -> int:
     folder = Path(sys.argv[1]) if len(sys.argv) > 1 else Path(__file__).resolve().parent.parent
+    if not folder.is_dir():
+        print(f"known_red: {folder}: no such folder", file=sys.stderr)
+        return 2
     try:
         check(folder.resolve())
     except Wrong as wrong:
