A retry whose body is malformed is not refused if its job was accepted

Cause: submit answered 400 to a malformed body before it had looked at the id, so an accepted job could be refused at any node: forgotten. Change: the id is made out where it can be (wire.named), and the refusal rests on a read of the store like all others; 503 where the store can't be asked.

--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -507,7 +507,9 @@
         try:
             spec = wire.parse_job(body)
         except wire.Malformed as error:
-            return 400, wire.error(str(error)), []
+            # Whatever has become of the body of a retry: an accepted job is never refused, here or elsewhere.
+            job = wire.named(body)
+            return await self.never(job, str(error), 400) if job else (400, wire.error(str(error)), [])
         node = self.node
         if node.known(spec.id):
             return await self.known(spec.id)
--- a/alderbridge/wire.py
+++ b/alderbridge/wire.py
@@ -160,7 +160,13 @@
     permit: int
 
 
+class _Named(Struct):
+    id: str
+
+
 _spec = msgspec.json.Decoder(JobSpec)
+_named = msgspec.json.Decoder(_Named)
+_ID_IN = re.compile(rb'"id"\s*:\s*"(wk-[0-9]{1,18})"')
 _beat = msgspec.json.Decoder(Beat)
 encode = msgspec.json.encode
 
@@ -181,6 +187,16 @@
     return spec
 
 
+def named(body: bytes) -> str:
+    """The job that a body speaks of which is no submission; "" where that can't be made out."""
+    try:
+        job = _named.decode(body).id
+        return job if JOB_ID.match(job) else ""
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        found = set(_ID_IN.findall(body))  # not JSON, or not an object
+        return found.pop().decode() if len(found) == 1 else ""
+
+
 def parse_beat(body: bytes) -> Beat:
     try:
         return _beat.decode(body)
--- /dev/null
+++ b/tests/test_meetings_looks.py
@@ -0,0 +1,477 @@
+"""Users ask at all nodes within milliseconds, repeat the submission and cancel, right after an answer: none is older.
+
+Real controllers' handlers, over a store and a mesh whose every step is the test's: a question, what the store does and
+what it answers, a frame, a look at what has changed.
+"""
+
+import inspect
+import random
+from types import SimpleNamespace
+
+import curio
+import msgspec
+import pytest
+from world import LABELS, TYPES, SimStore, platform
+from world import Refused as StoreRefused
+
+from alderbridge import constants as c
+from alderbridge import controller, wire
+from alderbridge import mesh as m
+from alderbridge.config import Tuning
+from alderbridge.controller import Controller
+from alderbridge.jobs import Job, JobState, Run, TaskState
+from alderbridge.net import Unanswered
+from alderbridge.poll import Poll
+from alderbridge.store import JOBS, MEMBERS, VIEW, Refused
+from alderbridge.view import Presence, View, choose
+
+BODY = {"workload": "x", "owner": "free", "shape": "sweep", "urgency": "standard", "parts": 1, "vcpus": 1.0,
+        "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "expected_s": 10.0}
+MACHINE, STEP_S = "n-000001", 0.02
+# what a user may send as a repeated submission
+REPEATS = {"same": {}, "another body": {"parts": 7, "vcpus": 2.0}, "unknown team": {"owner": "nobody"},
+           "fits nothing": {"vcpus": 500.0}, "malformed": {"parts": 0}, "lacks a field": {"bundle": None}}
+
+
+class Broken(AssertionError):
+    """An answer older than one that was told before its question arrived."""
+
+
+class Gate:
+    """One controller's store. ``slow``: what is asked is carried out, and then answered, when the test says so."""
+
+    def __init__(self, service: "Service", label: str) -> None:
+        self.service, self.label = service, label
+        self.slow = False
+        self.turn = curio.Event()  # the writer, which has found nothing to write, looks again
+        self.waiting: list[SimpleNamespace] = []
+
+    async def _call(self, action, lossy: bool = False):
+        if not self.slow:
+            return self._carry_out(action)
+        call = SimpleNamespace(action=action, event=curio.Event(), answer=None, asked=False, lossy=lossy)
+        self.waiting.append(call)
+        await call.event.wait()
+        if isinstance(call.answer, Exception):
+            raise call.answer
+        return call.answer
+
+    def _carry_out(self, action):
+        if self.label in self.service.cut:
+            raise Refused("cut")
+        try:
+            return action()
+        except StoreRefused:
+            raise Refused("down") from None
+
+    async def step(self, rng: random.Random) -> None:
+        """Of one call: it is carried out, or its answer, if not lost, arrives."""
+        call = rng.choice(self.waiting)
+        if not call.asked:
+            call.asked = True
+            try:
+                call.answer = self._carry_out(call.action)
+            except Refused as error:
+                call.answer = error
+            return
+        self.waiting.remove(call)
+        if call.lossy and rng.random() < 0.2:
+            call.answer = Unanswered("lost")
+        await call.event.set()
+
+    async def rest(self) -> None:
+        await self.turn.wait()
+        self.turn.clear()
+
+    async def get(self, key: str):
+        return await self._call(lambda: self.service.row(key))
+
+    async def commit(self, conditions, puts, drops=(), permit=None):
+        return await self._call(lambda: self.service.store.commit(conditions, puts, drops, permit), True)
+
+
+class Mesh:
+    def __init__(self, service: "Service", label: str) -> None:
+        self.service, self.label = service, label
+
+    def put(self, label: str, frame: m.Frame) -> None:
+        self.service.frames.setdefault((self.label, label), []).append(frame)
+
+    def renew(self, label: str) -> None:
+        pass
+
+    async def flush(self) -> None:
+        pass
+
+
+class Service:
+    """Five controllers at work under one view."""
+
+    def __init__(self, monkeypatch) -> None:
+        self.t = 100.0
+        self.store = SimStore(self)
+        self.controls: dict[str, Controller] = {}
+        self.writers: dict[str, curio.Task] = {}
+        self.frames: dict[tuple[str, str], list[m.Frame]] = {}
+        self.permits: dict[str, int] = {}
+        self.cut: set[str] = set()  # from the store
+        self.lag: set[str] = set()  # follow nothing
+        self.looks: dict[str, tuple] = {}  # what a look at the store has found, on its way
+        self.jobs = 0
+        self.accepted: set[str] = set()  # what users were told
+        self.ends: dict[str, str] = {}
+        self.cancelled: set[str] = set()  # what they have asked for
+        self.needs: dict[str, list[str]] = {}
+        self.answers: list[int] = []
+        monkeypatch.setattr(controller, "now", lambda: self.t)
+        monkeypatch.setattr(controller.time, "time", lambda: self.t)
+        monkeypatch.setattr(c, "WRITER_PAUSE_S", 0.0)
+        monkeypatch.setattr(c, "ROUND_S", 0.0)
+        monkeypatch.setattr(c, "FOLLOW_PAUSE_S", 0.0)
+
+    async def start(self, slow: bool = False) -> "Service":
+        for label in LABELS:
+            self.come(label)
+        self.view(*LABELS)
+        for label in LABELS:
+            await self.process(label, slow)
+            self.load(label)
+        for _ in range(3):
+            await self.rounds()
+        return self
+
+    def come(self, label: str) -> None:
+        permit = self.permits[label] = next(self.store.permits)
+        self.store.holds[permit] = 1e9
+        self.store.commit({}, {MEMBERS + label: Presence(permit, c.GENERATION)}, (), permit)
+
+    def view(self, *labels: str) -> None:
+        self.store.commit({}, {VIEW: View(labels[0], {label: self.permits[label] for label in labels})})
+
+    async def process(self, label: str, slow: bool = False) -> None:
+        """A new life of that controller, which has read nothing yet."""
+        if label in self.writers:
+            await self.writers[label].cancel()
+        control = self.controls[label] = Controller(platform(label, LABELS), Tuning(), Poll())
+        control.store, control.mesh = Gate(self, label), Mesh(self, label)
+        control.store.slow = slow
+        control.wait_for_work = control.store.rest
+        control.node.learn_types(TYPES)
+        control.node.held(self.permits[label], self.t, self.t)
+        self.looks.pop(label, None)
+        self.writers[label] = await curio.spawn(control.keep_records, daemon=True)
+
+    # -- steps
+
+    def row(self, key: str) -> wire.Row | None:
+        self.store.check()
+        found = self.store.data.get(key)
+        return None if found is None else wire.Row(key, msgspec.Raw(found[0]), found[1])
+
+    def load(self, label: str) -> None:
+        node = self.controls[label].node
+        node.membership.followed(self.t)
+        node.load(self.store.rows(), [], self.store.epoch, self.t, self.t)
+
+    def look(self, label: str) -> None:
+        """Ask the store what has changed, or take in what it said."""
+        node, look = self.controls[label].node, self.looks.pop(label, None)
+        if look is None:
+            rows = None if node.loaded else self.store.rows()
+            self.looks[label] = self.t, rows, self.store.since(node.replica.epoch), self.store.epoch
+            return
+        sent, rows, changes, epoch = look
+        node.membership.hold.renewed(self.permits[label], sent)
+        node.membership.followed(sent)
+        if rows is not None:
+            node.load(rows, [], epoch, self.t, self.t)
+        else:
+            node.apply(changes, self.t, self.t)
+            node.replica.epoch = max(epoch, node.replica.epoch)
+
+    async def deliver(self, way: tuple[str, str]) -> None:
+        frame, control = self.frames[way].pop(0), self.controls[way[1]]
+        control.on_frames([frame])
+        await control.after()
+
+    async def rounds(self) -> None:
+        """All is followed, delivered and written, but where the test has it otherwise."""
+        self.t += STEP_S
+        for label, control in self.controls.items():
+            if label not in self.lag | self.cut:
+                self.looks.pop(label, None)
+                self.look(label)
+                self.look(label)
+            control.node.round(self.t)
+            await control.after()
+            await control.store.turn.set()
+        while ways := [way for way, frames in self.frames.items() if frames]:
+            for way in ways:
+                await self.deliver(way)
+        for _ in range(2):
+            await curio.sleep(0)
+
+    # -- users
+
+    def fresh(self) -> str:
+        self.jobs += 1
+        return f"wk-{self.jobs:06d}"
+
+    async def ask(self, label: str, what: str, job: str, **change) -> curio.Task:
+        """A user's question; the task ends with the answer, compared with what was told before it was asked."""
+        accepted, end, replies = job in self.accepted, self.ends.get(job), []
+        body = msgspec.json.encode({"id": job, **BODY, **change})
+        path = {"poll": f"/v1/jobs/{job}", "submit": "/v1/jobs", "withdraw": f"/v1/jobs/{job}/withdraw"}[what]
+        if what == "withdraw":
+            self.cancelled.add(job)
+        event = curio.Event()
+        answer = self.controls[label].handle("GET" if what == "poll" else "POST", path, body, replies.append)
+
+        async def answered() -> tuple[int, str]:
+            if inspect.isawaitable(answer):
+                replies.append(await answer)
+            elif answer is not None:
+                replies.append(answer)
+            while not replies:
+                await curio.sleep(0)
+            await event.set()
+            return self.told(f"{what} of {job} at {label}", job, replies[0], accepted, end)
+
+        task = await curio.spawn(answered, daemon=True)
+        task.at = label
+        return task
+
+    def told(self, question: str, job: str, answer, accepted: bool, end: str | None) -> tuple[int, str]:
+        status, body = answer[0], msgspec.json.decode(answer[1])
+        said = body.get("status", "") if status in (200, 201) else ""
+        self.answers.append(status)
+        if status not in (200, 201, 400, 404, 422, 503):
+            raise Broken(f"{question}: {status}")
+        if accepted and status in (400, 404, 422):
+            raise Broken(f"forgotten: {question}: {status}, after it was accepted")
+        if said and (body["id"] != job or JOBS + job not in self.store.data):
+            raise Broken(f"invented: {question}: {body}")
+        if end is not None and said not in ("", end):
+            raise Broken(f"went_back: {question}: {said}, after it was {end}")
+        if said:
+            self.accepted.add(job)
+        if said in ("done", "aborted"):
+            stored = msgspec.json.decode(self.store.data[JOBS + job][0])["state"]
+            if stored != said and not self.taken_along(job):
+                raise Broken(f"not_done: {question}: {said}, in the store it is {stored}")
+            if said == "aborted" and job not in self.cancelled and not self.taken_along(job):
+                raise Broken(f"went_back: {question}: aborted, and nobody cancelled it")
+            if self.ends.setdefault(job, said) != said:
+                raise Broken(f"went_back: {question}: {said}, and others were told {self.ends[job]}")
+        return status, said
+
+    def taken_along(self, job: str) -> bool:
+        """Whether one before it is cancelled."""
+        return any(need in self.cancelled or self.taken_along(need) for need in self.needs.get(job, ()))
+
+    async def answer(self, label: str, what: str, job: str, **change) -> tuple[int, str]:
+        task = await self.ask(label, what, job, **change)
+        for number in range(60):
+            if task.terminated:
+                return await task.join()
+            await (self.rounds() if number > 3 else curio.sleep(0))
+        raise Broken(f"{what} of {job} at {label}: no answer")
+
+    def finish(self, job: str) -> bool:
+        """The last task's report reaches its home, if there is one at work."""
+        for control in self.controls.values():
+            node = control.node
+            one = node.home.jobs.get(job)
+            if one is not None and one.state is JobState.ACTIVE and node.membership.may_act(self.t):
+                self.run(one)
+                node.home.on_seen(node.me, m.Seen(MACHINE, "a", 1 << 40, [m.SeenTask(job, 0, 7, "ended", "done")], []),
+                                  self.t)
+                return True
+        return False
+
+    def run(self, job: Job) -> None:
+        if 0 not in job.runs:
+            job.unknown.clear()
+            job.next = max(job.next, 1)
+            job.grant(0, Run(MACHINE, "a", 7, 0, TaskState.RUNNING, self.t))
+
+
+@pytest.fixture
+def service(monkeypatch):
+    return Service(monkeypatch)
+
+
+# -- asked at each node, right after another has told it
+
+async def bring(service: Service, state: str, home: str, teller: str, trouble) -> str:
+    """A job that the teller has told to be accepted, done or cancelled; the trouble begins when it is stored."""
+    job = service.fresh()
+    assert (await service.answer(home, "submit", job))[0] == 201
+    for _ in range(2):
+        await service.rounds()  # all know it, and what follows they may not
+    if state == "accepted":
+        job = service.fresh()
+        trouble()
+        assert (await service.answer(home, "submit", job))[0] == 201
+    else:
+        trouble()
+        if state == "done":
+            assert service.finish(job)
+            await service.controls[home].store.turn.set()  # stored, and nobody else has heard of it
+        else:
+            assert await service.answer(teller, "withdraw", job) == (200, "aborted")
+    for _ in range(3):
+        await curio.sleep(0)
+    told = await service.answer(teller, "poll", job)
+    assert told == (200, {"accepted": "pending", "done": "done", "cancelled": "aborted"}[state])
+    return job
+
+
+def befall(service: Service, trouble: str, label: str) -> None:
+    if trouble in ("lags", "lapsed"):
+        service.lag.add(label)
+    elif trouble == "cut":
+        service.cut.add(label)
+
+
+@pytest.mark.parametrize("trouble", ("none", "lags", "lapsed", "cut", "loading", "back"))
+@pytest.mark.parametrize("state", ("accepted", "done", "cancelled"))
+def test_no_node_answers_older_than_any_has_told(service, state, trouble):
+    """Told by each of the five, asked at each other: a poll, the submission again in all its forms, a cancel."""
+    async def play():
+        await service.start()
+        for number, teller in enumerate(LABELS):
+            for asked in LABELS:
+                if asked == teller:
+                    continue
+                home = LABELS[number - 1] if asked != LABELS[number - 1] else teller
+                job = await bring(service, state, home, teller, lambda asked=asked: befall(service, trouble, asked))
+                if trouble in ("loading", "back"):
+                    service.lag.add(asked)
+                    service.come(asked)
+                    if trouble == "back":
+                        service.view(*LABELS)
+                    await service.process(asked)
+                    if trouble == "back":  # it has read all, its view is the one of its life before
+                        service.load(asked)
+                elif trouble == "lapsed":
+                    service.t += 30.0
+                answers = [await service.answer(asked, "poll", job)]
+                for change in REPEATS.values():
+                    answers.append(await service.answer(asked, "submit", job, **change))
+                answers.append(await service.answer(asked, "poll", job))
+                answers.append(await service.answer(asked, "withdraw", job))
+                if trouble in ("none", "lags"):  # the store can be asked: all but a cancel has its answer
+                    assert all(status == 200 for status, _ in answers[:-1])
+                service.t += c.STORE_TROUBLE_S
+                service.lag.clear()
+                service.cut.clear()
+                if trouble in ("loading", "back"):
+                    service.view(*LABELS)
+                for _ in range(3):
+                    await service.rounds()
+                assert (await service.answer(asked, "withdraw", job))[0] == 200  # all is well again
+                for label in LABELS:
+                    assert (await service.answer(label, "poll", job))[1] in ("done", "aborted")
+
+    curio.run(play)
+
+
+# -- everything at once
+
+class Storm:
+    """Users at all nodes, each step of store, mesh and controllers in a random order; processes end and return."""
+
+    def __init__(self, service: Service, seed: int) -> None:
+        self.service, self.rng = service, random.Random(seed)
+        self.asked: list[curio.Task] = []
+        self.names: list[str] = []
+        self.gone: list[Gate] = []  # of processes that have ended: what they had asked for may be carried out late
+
+    async def step(self) -> None:
+        service, rng = self.service, self.rng
+        service.t += STEP_S
+        gates = [gate for gate in [one.store for one in service.controls.values()] + self.gone if gate.waiting]
+        ways = [way for way, frames in service.frames.items() if frames]
+        kind = rng.random()
+        if gates and kind < 0.4:
+            await rng.choice(gates).step(rng)
+        elif ways and kind < 0.65:
+            for way in rng.sample(ways, min(3, len(ways))):
+                await service.deliver(way)
+        elif kind < 0.8:
+            service.look(rng.choice([label for label in LABELS if label not in service.lag]))
+        elif kind < 0.9:
+            control = service.controls[rng.choice(LABELS)]
+            if rng.random() < 0.1:
+                control.node.round(service.t)
+            await control.after()
+            await control.store.turn.set()
+        elif kind < 0.995:
+            if len(self.asked) < 12:
+                await self.question()
+        else:
+            await self.trouble()
+        await curio.sleep(0)
+        self.asked = [task for task in self.asked if not (task.terminated and await task.join())]
+
+    async def question(self) -> None:
+        service, rng = self.service, self.rng
+        if not self.names or rng.random() < 0.1:
+            job, change = service.fresh(), {}
+            if self.names and rng.random() < 0.3:
+                service.needs[job] = change["waits_on"] = [rng.choice(self.names[-5:])]
+            self.names.append(job)
+            for label in rng.sample(LABELS, rng.choice([1, 1, 2])):
+                self.asked.append(await service.ask(label, "submit", job, **change))
+            return
+        accepted = [job for job in self.names if job in service.accepted]
+        job = rng.choice(accepted[-4:] if accepted and rng.random() < 0.8 else self.names[-2:])
+        kind = rng.random()
+        if kind < 0.12:
+            service.finish(job)
+            return
+        for label in rng.sample(LABELS, rng.randint(1, 5)):
+            if kind < 0.2:
+                self.asked.append(await service.ask(label, "withdraw", job))
+            elif kind < 0.4 and job in service.accepted:
+                self.asked.append(await service.ask(label, "submit", job, **rng.choice(list(REPEATS.values()))))
+            else:
+                self.asked.append(await service.ask(label, "poll", job))
+
+    async def trouble(self) -> None:
+        """One hears nothing of the store for a while, or a process ends, and is back at once or later."""
+        service, rng = self.service, self.rng
+        label = rng.choice(LABELS)
+        if len(service.lag) > 1:
+            return service.lag.clear()
+        if rng.random() < 0.6:
+            return service.lag.add(label)
+        old = service.controls[label]
+        self.gone.append(old.store)
+        view = msgspec.json.decode(service.store.data[VIEW][0], type=View)
+        if rng.random() < 0.5 and len(view.members) > 3:
+            service.view(*sorted(view.members.keys() - {label}))  # its hold has ended
+        service.come(label)
+        await service.process(label, slow=True)
+        if rng.random() < 0.5:
+            service.view(*LABELS)
+        # Who had asked it gets no answer.
+        for task in [task for task in self.asked if task.at == label and not task.terminated]:
+            self.asked.remove(task)
+            await task.cancel()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_nothing_older_is_told_in_a_storm_of_questions(service, seed):
+    async def play():
+        await service.start()
+        for control in service.controls.values():
+            control.store.slow = True
+        storm = Storm(service, seed)
+        for _ in range(4000):
+            await storm.step()
+        assert len(service.ends) > 5 and {"done", "aborted"} == set(service.ends.values())
+        assert service.answers.count(200) > len(service.answers) / 3
+
+    curio.run(play)
