--- a/tests/test_meetings_looks.py
+++ b/tests/test_meetings_looks.py
@@ -277,6 +277,12 @@
             await (self.rounds() if number > 3 else curio.sleep(0))
         raise Broken(f"{what} of {job} at {label}: no answer")
 
+    async def answer_now(self, label: str, what: str, job: str) -> tuple[int, str]:
+        """Where memory has it."""
+        task = await self.ask(label, what, job)
+        await curio.sleep(0)
+        return await task.join()
+
     def finish(self, job: str) -> bool:
         """The last task's report reaches its home, if there is one at work."""
         for control in self.controls.values():
@@ -377,6 +383,114 @@
     curio.run(play)
 
 
+async def away(service: Service, *labels: str, for_s: float = 30.0) -> None:
+    """These hear nothing of the store for so long; to the others time goes on."""
+    service.lag.update(labels)
+    end = service.t + for_s
+    while service.t < end:
+        service.t += 1.0
+        await service.rounds()
+
+
+@pytest.mark.parametrize("end", ("done", "aborted"))
+def test_a_home_that_was_replaced_tells_nothing_of_what_it_was_home_to(service, end):
+    """It is alive, and users reach it; its hold has ended, and what it has in memory has gone on elsewhere."""
+    async def play():
+        await service.start()
+        job, home = service.fresh(), LABELS[1]
+        others = [label for label in LABELS if label != home]
+        assert (await service.answer(home, "submit", job))[0] == 201
+        await service.rounds()
+        await away(service, home)
+        service.view(*others)
+        await away(service, home, for_s=3.0)
+        if end == "done":
+            assert service.finish(job)
+        else:
+            assert await service.answer(others[0], "withdraw", job) == (200, "aborted")
+        for _ in range(3):
+            await service.rounds()
+        assert await service.answer(others[1], "poll", job) == (200, end)
+        service.cut.add(home)
+        for what in ("poll", "submit", "withdraw"):
+            assert (await service.answer(home, what, job))[0] == 503
+        service.cut.clear()
+        assert await service.answer(home, "poll", job) == (200, end), "from the store"
+
+    curio.run(play)
+
+
+def test_an_inherited_job_does_not_end_while_its_earlier_home_may_still_tell_of_it(service):
+    """A member joins and is the home of what another was home to, who acts and does not know that view yet."""
+    async def play():
+        await service.start()
+        gone, new = next((gone, new) for gone in LABELS for new in LABELS
+                         if gone != new and choose(gone, sorted({*LABELS} - {gone})) == new)
+        old = choose(gone, sorted({*LABELS} - {gone, new}))
+        job = service.fresh()
+        assert (await service.answer(gone, "submit", job))[0] == 201
+        await service.rounds()
+        service.view(*sorted({*LABELS} - {gone, new}))
+        service.lag.add(gone)
+        await away(service, gone, for_s=25.0)
+        assert job in service.controls[old].node.home.jobs
+        service.view(*sorted({*LABELS} - {gone}))
+        service.lag.add(old)
+        service.looks.pop(old, None)
+        frames = service.frames
+        for way in [way for way in frames if old in way]:  # they do not hear each other either
+            frames[way] = []
+        cancel = await service.ask(new, "withdraw", job)
+        for _ in range(4):
+            for label in {*LABELS} - {old, gone}:
+                service.look(label)
+                service.look(label)
+                service.controls[label].node.round(service.t)
+                await service.controls[label].after()
+                await service.controls[label].store.turn.set()
+            await curio.sleep(0)
+            assert await service.answer_now(old, "poll", job) == (200, "pending")
+        assert not cancel.terminated, "it is told when the earlier home can't deny it any more"
+        service.lag.discard(old)
+        for _ in range(5):
+            await service.rounds()
+        if not cancel.terminated:
+            await cancel.cancel()
+        for label in LABELS:
+            assert await service.answer(label, "withdraw", job) in ((200, "aborted"), (503, ""))
+        assert await service.answer(old, "poll", job) == (200, "aborted")
+
+    curio.run(play)
+
+
+def test_what_one_before_it_took_along_is_not_called_pending_from_its_record(service):
+    """Its home can't write its end; others know it for long; one hears nothing, and reads the record."""
+    async def play():
+        await service.start()
+        first, second = service.fresh(), service.fresh()
+        home, lagging = LABELS[1], LABELS[2]
+        service.needs[second] = [first]
+        assert (await service.answer(LABELS[0], "submit", first))[0] == 201
+        await service.rounds()
+        assert (await service.answer(home, "submit", second, waits_on=[first]))[0] == 201
+        await service.rounds()
+        service.cut.add(home)
+        service.lag.add(home)
+        service.lag.add(lagging)
+        assert await service.answer(LABELS[0], "withdraw", first) == (200, "aborted")
+        for label in LABELS:
+            await service.answer(label, "poll", second)
+        await away(service, home, lagging, for_s=23.0)
+        assert msgspec.json.decode(service.store.data[JOBS + second][0])["state"] == "active"
+        for label in (LABELS[0], LABELS[3], LABELS[4]):
+            assert await service.answer(label, "poll", second) == (200, "aborted")
+        for label in (home, lagging):
+            for what in ("poll", "submit"):
+                assert (await service.answer(label, what, second))[0] == 503
+
+    curio.run(play)
+
+
 # -- everything at once
 
 class Storm:
@@ -386,6 +500,7 @@
         self.service, self.rng = service, random.Random(seed)
         self.asked: list[curio.Task] = []
         self.names: list[str] = []
+        self.heard: set[tuple[str, str]] = set()
         self.gone: list[Gate] = []  # of processes that have ended: what they had asked for may be carried out late
 
     async def step(self) -> None:
@@ -408,12 +523,17 @@
             await control.after()
             await control.store.turn.set()
         elif kind < 0.995:
-            if len(self.asked) < 12:
+            if len(self.asked) < 20:
                 await self.question()
         else:
             await self.trouble()
         await curio.sleep(0)
         self.asked = [task for task in self.asked if not (task.terminated and await task.join())]
+        heard = {*service.ends.items(), *((job, "accepted") for job in service.accepted)}
+        for job in sorted(job for job, _ in heard - self.heard):  # at once, at all nodes
+            for label in LABELS:
+                self.asked.append(await service.ask(label, "poll", job))
+        self.heard = heard
 
     async def question(self) -> None:
         service, rng = self.service, self.rng
@@ -462,7 +582,7 @@
             await task.cancel()
 
 
-@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("seed", range(5))
 def test_nothing_older_is_told_in_a_storm_of_questions(service, seed):
     async def play():
         await service.start()
