A machine that lapses while its record's put is in doubt leaves no record

Cause: a put that was carried out at once, its answer lost, is shown by the replica; if the machine lapsed before the next try, nobody dropped the record, and the next view waited a lease for it. Change: what the replica has shown counts as recorded where the record is to go. Measured: test_a_machine_that_lapses_while_its_record_is_in_doubt_leaves_none failed before, passes now.

--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -68,6 +68,7 @@
         self.type = self.zone = self.address = ""
         self.spot = False
         self.recorded = False  # the store holds its record; no ``run`` before that
+        self.shown = False  # the replica has it; who wrote it, and what else is on its way, is not known yet
         self.acked = False  # a report of it has borne this view's mandate
         # All that may be on it is known from the view before, in which this same process had it: ``tasks``, and
         # what was ordered and not yet seen in a report.
@@ -637,8 +638,10 @@
         """Nothing is on it: no later view need wait for it, and none is to be made to."""
         if machine.name in self.to_record:
             self.to_record.remove(machine.name)
-        if machine.recorded:
-            machine.recorded = False
+        # Shown, too: its put was carried out, the answer lost, and nobody tries again. Left behind, that record held up
+        # every later view for a lease.
+        if machine.recorded or machine.shown:
+            machine.recorded = machine.shown = False
             self.to_drop.append(machine.name)
 
     def on_recorded(self, name: str) -> None:
@@ -664,6 +667,8 @@
         machine = self.machines.get(name)
         if name in self.returned if machine is None else machine.state is MachineState.LAPSED:
             self.to_drop.append(name)
+        elif machine is not None:
+            machine.shown = True
 
     def check_silence(self, now: float) -> None:
         """One line a second until every machine is squared, given up or known to be silent."""
