Claims in doubt let the leader's other records go first

Cause: a claims' transaction whose answer was lost, its watch hanging, met a conflict again and again, and as claims go first in each look, no end, mark or submission of the leader's was written for as long. Change: after a failed one what else is due goes first, once.

--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -146,6 +146,7 @@
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
         self.drops_sent: set[str] = set()  # of these, those whose drop may be carried out at any moment
+        self.claims_wait = False  # the last transaction of claims failed: what else is due goes first, once
         self.dropping_lists: list[str] = []  # keys of lists whose jobs are over
         self.doomed_at: dict[str, float] = {}  # since when this node knows that a job before it is aborted
         self.wall = 0.0  # time of day less ``now``
@@ -537,7 +538,10 @@
         if room < 1:
             return None
         batch = Batch(self.membership.mandate, {VIEW: self.membership.mandate})
-        if not self.ledger.idle and self.membership.leads(now):
+        # Claims in doubt meet a conflict until the replica shows them. Tried again and again before all else, they kept
+        # the leader's ends, marks and submissions waiting for as long as its watch hung.
+        waits, self.claims_wait = self.claims_wait, False
+        if not waits and not self.ledger.idle and self.membership.leads(now):
             batch.claims = self.ledger.due(now + self.wall, room, self.home.value_bytes)
             if batch.claims is not None:
                 batch.conditions |= batch.claims.conditions
@@ -638,6 +642,7 @@
             self.declared.failed(batch.proposal, now)
         if batch.claims is not None:
             self.ledger.failed(batch.claims)
+            self.claims_wait = True
 
     def batch_too_large(self, batch: Batch, now: float) -> None:
         """The store takes less than the settings said: the same again would never be carried out."""
