Tests: answers lost, cancellations while work changes hands, ten leaders

Each transaction's answer is lost though it was carried out at once, with and without its writer's watch; a leader's jobs are cancelled through all controllers while its work changes hands; ten leaders in two minutes, one run with an outage of 50 s.

--- /dev/null
+++ b/tests/test_meetings_answers.py
@@ -0,0 +1,650 @@
+"""Transactions carried out at once whose answer alone is lost; jobs cancelled while work changes hands; ten leaders.
+
+What a transaction wrote is read by all others at once, and told to users, while its writer is in doubt from the
+sending until it has read. ``tests/test_meetings_store.py`` has the transactions that are carried out late.
+"""
+
+import math
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from test_meetings_store import LEASE_S, SETTLED_S, SPEC, Alone, machine_of
+from world import CANCEL_S, STORE_S, Broken, Refused, SimNode, TooLarge, World
+
+from alderbridge import constants as c
+from alderbridge import declared, wire
+from alderbridge import mesh as m
+from alderbridge.claims import Claim
+from alderbridge.contact import Contact
+from alderbridge.declared import Declarations, texts
+from alderbridge.jobs import JobState, Record, TaskState
+from alderbridge.machines import MachineState
+from alderbridge.node import Node
+from alderbridge.store import BUDGETS, CLAIMS, DECLARED, JOBS, MACHINES, VIEW
+from alderbridge.view import View, choose
+
+# -- one node, one store: what is written is read by others at once ------------------
+
+def at_once(alone, shown=True):
+    """What is due, carried out at once; its answer is lost. ``shown``: the writer's own watch tells it before that."""
+    batch = alone.batch()
+    assert batch is not None and not alone.carry_out(batch).failed
+    if shown:
+        alone.follow()
+    alone.t += c.STATE_TIMEOUT_S
+    alone.node.batch_failed(batch, alone.t)
+    return batch
+
+
+def tries(alone, times):
+    """So many looks for what is due, each answered at once."""
+    for _ in range(times):
+        batch = alone.batch()
+        if batch is not None:
+            alone.settle(batch)
+
+
+def at_same_time(alone, other):
+    other.t = alone.t
+    other.follow()
+    return other
+
+
+def stored(alone, job=SPEC.id):
+    return msgspec.json.decode(alone.store.data[JOBS + job][0], type=Record)
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_a_machine_whose_record_is_in_doubt_is_given_nothing_to_run_and_others_wait_for_it(shown):
+    """Others' barriers have it as soon as it is in the store; its part counts it only from an answer, or a read."""
+    alone = Alone("host-1")
+    name = machine_of("host-0", "host-0", "host-1")
+    there = alone.other("host-1")
+    alone.beat(name, 1)
+    put = at_once(alone, shown)
+    assert MACHINES + name in put.puts
+    machine = alone.beat(name, 2)
+    assert not machine.recorded and alone.node.part.candidate(machine, alone.t) is None
+    alone.store.commit({}, {VIEW: View("host-1", alone.permits)})
+    at_same_time(alone, there)
+    assert name in there.node.home.barrier
+    alone.write()  # meets the view, and then its own record
+    alone.follow()
+    alone.write()
+    assert alone.node.part.machines[name].recorded
+
+
+@pytest.mark.parametrize("how", (Alone.follow, Alone.reload))
+def test_a_machine_that_lapses_while_its_record_is_in_doubt_leaves_none(how):
+    """Shown before the lapse, and never dropped: it held up each later view for a lease."""
+    alone = Alone()
+    name = "n-000001"
+    alone.beat(name, 1)
+    at_once(alone, shown=False)
+    how(alone)
+    alone.go(LEASE_S + 2.0)  # the store is read, and takes no changes
+    assert alone.node.part.machines[name].state is MachineState.LAPSED
+    alone.write()
+    assert MACHINES + name not in alone.store.data
+    alone.beat(name, 1, tenure=2)
+    alone.write()
+    assert MACHINES + name in alone.store.data and alone.node.part.machines[name].recorded
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_a_machine_whose_drop_is_in_doubt_runs_nothing_before_it_is_recorded_again(shown):
+    """Others take what ran there for free: the record that is gone must not count as one that was kept."""
+    alone = Alone("host-1")
+    name = machine_of("host-0", "host-0", "host-1")
+    there = alone.other("host-1")
+    alone.up(name)
+    alone.go(SETTLED_S + LEASE_S)
+    drop = at_once(alone, shown)
+    assert drop.drops == [MACHINES + name]
+    machine = alone.beat(name, 1, tenure=2)
+    assert machine.acked and not machine.recorded and alone.node.part.candidate(machine, alone.t) is None
+    at_same_time(alone, there)
+    assert name not in there.node.replica.machines
+    while not machine.recorded:
+        alone.settle(alone.batch())
+        alone.follow()
+    assert MACHINES + name in alone.store.data
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_nothing_is_granted_beyond_a_mark_in_doubt_and_the_next_home_takes_it_for_started(shown):
+    alone = Alone("host-1")
+    job = alone.job(msgspec.structs.replace(SPEC, tasks=1000))
+    alone.up("n-000001")
+    there, mark = alone.other("host-1"), job.mark
+    job.next = mark
+    alone.node.home.want_mark(job, 10, alone.t)
+    at_once(alone, shown)
+    assert stored(alone).mark > mark
+    assert job.pick(alone.t) is None, "it has not heard that the store has the mark"
+    alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.permits["host-1"]})})
+    at_same_time(alone, there)
+    assert len(there.node.home.jobs[SPEC.id].unknown) == stored(alone).mark > mark
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_a_result_in_doubt_stays_on_its_machine_and_counts_wherever_its_job_goes(shown):
+    alone = Alone("host-1")
+    there = alone.other("host-1")
+    job = alone.job()
+    alone.runs(job, "n-000001", 0)
+    sent = []
+    alone.node.home.send = alone.node.home.send_later = lambda label, body: sent.append(body) or len(sent)
+    alone.node.home.on_seen("host-0", alone.ended("n-000001", 0), alone.t)
+    alone.t += 1.0
+    alone.follow()
+    at_once(alone, shown)
+    alone.node.home.on_seen("host-0", alone.ended("n-000001", 0), alone.t)
+    assert stored(alone).done == [(0, 1)] and not [body for body in sent if isinstance(body, m.Clear)]
+    at_same_time(alone, there)
+    assert there.node.replica.left[SPEC.id] == SPEC.tasks - 1
+    alone.t += 1.0
+    alone.follow()
+    alone.write()
+    assert [body.index for body in sent if isinstance(body, m.Clear)] == [0], "once: it has read its own write"
+    alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.permits["host-1"]})})
+    at_same_time(alone, there)
+    assert there.node.home.jobs[SPEC.id].state_of(0) is TaskState.DONE
+
+
+def end_of(alone, how):
+    """The job's end is about to be written; something of it is left on a machine where it is cancelled."""
+    job = alone.job()
+    if how == "aborted":
+        alone.runs(job, "n-000001", 0)
+        assert alone.node.withdraw(SPEC.id, alone.t) == ""
+    else:
+        for index in range(SPEC.tasks):
+            alone.runs(job, "n-000001", index)
+            alone.node.home.on_seen("host-0", alone.ended("n-000001", index), alone.t)
+    return job
+
+
+@pytest.mark.parametrize("shown", (True, False))
+@pytest.mark.parametrize("state", ("aborted", "done"))
+@pytest.mark.parametrize("met", ("read", "not read", "same home", "other home"))
+def test_an_end_in_doubt_is_told_by_others_and_nothing_older_by_its_home(state, shown, met):
+    """Asked at every step: from the sending, when the call fails, when its conflict can't be read, under a new view."""
+    alone = Alone("host-1")
+    there = alone.other("host-1")
+    end_of(alone, state)
+    told = []
+
+    def ask():
+        for one in (alone, there):
+            answer = one.node.state_here(SPEC.id, one.t)
+            assert answer is None or answer[0] == state, (one.me, answer)
+            told.append(answer is not None)
+            if one.node.home_of(SPEC.id) == one.me or answer is not None:
+                assert one.node.withdraw(SPEC.id, one.t) in ("", None, state)
+
+    batch = alone.batch()
+    assert not alone.carry_out(batch).failed
+    if shown:
+        alone.follow()
+    at_same_time(alone, there)
+    ask()
+    assert told == [shown, True]
+    alone.t += c.STATE_TIMEOUT_S
+    alone.node.batch_failed(batch, alone.t)
+    at_same_time(alone, there)
+    ask()
+    if met == "not read":  # the next try meets it, and the store can't be asked for it
+        again = alone.batch()
+        assert alone.carry_out(again).failed == [JOBS + SPEC.id]
+        alone.node.batch_failed(again, alone.t)
+        ask()
+    elif met != "read":
+        labels = ("host-1", "host-0") if met == "same home" else ("host-1",)
+        alone.store.commit({}, {VIEW: View("host-1", {label: alone.permits[label] for label in labels})})
+        at_same_time(alone, there)
+        ask()
+        alone.follow()
+        ask()
+        assert (SPEC.id in there.node.home.jobs) <= (met == "other home")
+    home = there if met == "other home" else alone
+    home.t = there.t = alone.t = alone.t + SETTLED_S
+    for _ in range(3):
+        alone.follow()
+        there.follow()
+        home.node.round(home.t)
+        home.write()
+        ask()
+    assert stored(alone).state.value == state
+    assert home.node.state_here(SPEC.id, home.t) == (state, 0, 0) and there.node.withdraw(SPEC.id, there.t) == state
+
+
+@pytest.mark.parametrize("shown", (True, False))
+@pytest.mark.parametrize("view", (False, True))
+def test_a_shrunk_end_in_doubt_ends_once_for_its_home(shown, view):
+    """The replica has nothing more of it, its home goes on until it has read that, or until the next view."""
+    alone = Alone("host-1")
+    job = end_of(alone, "done")
+    at_once(alone, shown)
+    assert stored(alone).spec is None and job.to_clear and not job.drained
+    assert alone.node.withdraw(SPEC.id, alone.t) == ("done" if shown else "")
+    if view:
+        alone.view("host-1", "host-0")
+        assert SPEC.id not in alone.node.home.jobs
+    alone.write()
+    alone.go(2.0)
+    alone.write()
+    assert SPEC.id not in alone.node.home.jobs and not alone.node.home.tally.lagging
+    assert alone.node.state_here(SPEC.id, alone.t) == ("done", 0, 0)
+
+
+@pytest.mark.parametrize("shown", (True, False))
+@pytest.mark.parametrize("then", ("again", "refused", "view"))
+def test_a_submission_in_doubt_is_told_by_others_and_served_once(shown, then):
+    """Refused, its user tries again at the same controller; or the view begins, which gives the job to its home."""
+    alone = Alone("host-1")
+    there = alone.other("host-1")
+    submission = alone.node.submit(SPEC, alone.t, alone.t)
+    at_once(alone, shown)
+    at_same_time(alone, there)
+    assert there.node.known(SPEC.id) and there.node.home_of(SPEC.id) == "host-0"
+    assert alone.node.withdraw(SPEC.id, alone.t) is None, "decided by the home, when it has the job"
+    if then == "refused":
+        alone.node.refuse_submissions()
+        assert submission.outcome == "refused" and (SPEC.id in alone.node.home.jobs) is shown
+        if not alone.node.known(SPEC.id):
+            submission = alone.node.submit(SPEC, alone.t, alone.t + 1.0)
+    elif then == "view":
+        alone.view("host-1", "host-0")
+    alone.write()
+    assert not alone.node.submissions and submission.outcome in ("known", "refused")
+    job = alone.node.home.jobs[SPEC.id]
+    assert job.stamp == alone.store.data[JOBS + SPEC.id][1] and job.inherited is (then == "view")
+    assert alone.node.state_here(SPEC.id, alone.t)[0] == "pending"
+    alone.go(2.0)
+    alone.write()
+    assert alone.node.home.jobs == {SPEC.id: job}
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_lists_in_doubt_are_stored_once_and_their_job_waits_for_all_of_them(shown):
+    alone = Alone()
+    alone.node.home.value_bytes = 700
+    need = msgspec.structs.replace(SPEC, id="wk-000100")
+    alone.job(need)
+    spec = msgspec.structs.replace(SPEC, needs=[f"wk-{number:06d}" for number in range(100, 250)])
+    submission = alone.node.submit(spec, alone.t, alone.t)
+    lists = dict(submission.lists)
+    assert len(lists) > 1
+    batch = at_once(alone, shown)
+    stamps = {key: alone.store.data[key][1] for key in batch.puts}
+    alone.write()
+    assert submission.outcome == "accepted" and alone.node.graph.waiting(SPEC.id)
+    assert {key: msgspec.json.decode(alone.store.data[key][0]) for key in lists} == lists
+    assert (stamps == {key: alone.store.data[key][1] for key in batch.puts}) is shown
+    assert not alone.node.home.jobs[SPEC.id].unknown and alone.node.home.jobs[SPEC.id].waits
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_a_view_in_doubt_binds_its_writer_by_its_writes_and_its_freshness(shown):
+    """Others have begun it. Blind, the writer orders and tells by the older one until it must not act any more."""
+    alone = Alone("host-1", "host-2")
+    there = alone.other("host-1")
+    name = machine_of("host-0", "host-0", "host-1", "host-2")
+    alone.up(name)
+    spec = next(spec for spec in (msgspec.structs.replace(SPEC, id=f"wk-{number:06d}") for number in range(99))
+                if choose("host-2", ["host-0", "host-1"]) != choose("host-3", ["host-0", "host-1"]) or spec)
+    job = alone.job(spec)
+    alone.store.commit({}, {VIEW: View("host-0", {label: alone.permits[label] for label in ("host-0", "host-1")})})
+    if shown:
+        alone.follow()
+    at_same_time(alone, there)
+    assert there.node.membership.mandate > alone.node.membership.mandate or shown
+    assert alone.node.withdraw(spec.id, alone.t) == ""
+    if not shown:
+        batch = alone.batch()
+        assert alone.carry_out(batch).failed == [VIEW]
+        alone.node.batch_failed(batch, alone.t)
+    assert job.stored_state is JobState.ACTIVE and alone.node.state_here(spec.id, alone.t) is None
+    if not shown:
+        alone.t += alone.node.membership.hold.ttl_s
+        assert alone.batch() is None and not alone.node.may_act()
+        alone.follow()
+    alone.write()
+    assert alone.node.state_here(spec.id, alone.t) == ("aborted", 0, 0)
+
+
+def claim(job="wk-000002"):
+    return Claim("urgent", job, 1, [("wk-000001", 0, 7)], 0.0, 99.0, "free", 1.0)
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_claims_in_doubt_are_planned_upon_only_when_they_have_been_read(shown):
+    alone = Alone()
+    ledger = alone.node.ledger
+    ledger.plan([{"n-000001": claim()}])
+    at_once(alone, shown)
+    assert ledger.busy, "nothing is planned before it is settled"
+    assert (ledger.claim_of("n-000001") is not None) is shown
+    tries(alone, 3)
+    assert ledger.busy is not shown
+    alone.follow()
+    tries(alone, 2)
+    assert not ledger.busy and ledger.claim_of("n-000001") is not None
+    assert ledger.stops_of("wk-000001", 0) == 1 and ledger.spent_stamp == alone.store.data[BUDGETS][1]
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_ends_are_written_though_the_drop_of_a_claim_is_in_doubt(shown):
+    """Its own watch hangs: the drop met a conflict again and again, and nothing else was written for as long."""
+    alone = Alone()
+    ledger = alone.node.ledger
+    end_of(alone, "aborted")
+    ledger.plan([{"n-000001": claim()}])
+    alone.settle(alone.batch())
+    ledger.drop("n-000001", "used")
+    drop = at_once(alone, shown)
+    assert drop.drops == [CLAIMS + "n-000001"]
+    tries(alone, 3)
+    assert stored(alone).state is JobState.ABORTED
+    alone.follow()
+    tries(alone, 2)
+    assert ledger.claim_of("n-000001") is None and ledger.idle
+
+
+@pytest.mark.parametrize("shown", (True, False))
+def test_a_head_in_doubt_is_obeyed_beside_the_one_before_by_whoever_has_read_it(shown):
+    raw = msgspec.json.encode({"words": ["a"]})
+    own = declared.Declared("hours", 3, texts.digest_of(raw), raw)
+    one, other = (Declarations(file, 20.0, ["host-0"]) for file in ({"hours": own}, None))
+    membership = SimpleNamespace(present={"host-0": (1, 1)}, all_run=lambda generation: True, leads=lambda now: True)
+    proposal = one.due(membership, 0.0, 0.0, 12, 4096)
+    assert DECLARED + "hours" in proposal.puts
+
+    def show(declarations, now):
+        for key, value in proposal.puts.items():
+            declarations.apply(key, msgspec.json.encode(value), 7)
+        declarations.look(now)
+
+    show(other, 0.1)
+    assert other.obeyed("hours", 0.1) == [0, 3]
+    if shown:
+        show(one, 0.1)
+    one.failed(proposal, c.STATE_TIMEOUT_S)
+    assert one.obeyed("hours", 2.0) == ([0, 3] if shown else [0])
+    again = one.due(membership, 2.0 + c.DECLARE_PAUSE_S, 9.0, 12, 4096)
+    assert (again is None) is shown, "its own head is not proposed over itself"
+    if again is not None:
+        assert again.conditions == proposal.conditions, "the store has it at 7: a conflict"
+        one.failed(again, 3.0)
+        show(one, 4.0)
+    assert one.obeyed("hours", 20.9) == [0, 3] and one.obeyed("hours", 26.0) == [3]
+
+
+# -- all of it, in a world
+
+class AnswersLost(SimNode):
+    """Of a share of what it changes in the store the answer alone is lost; now and then its watch hangs meanwhile."""
+
+    blind_until = 0.0
+
+    def call(self, then, fail, method, *args, too_large=None) -> None:
+        world, life = self.world, self.life
+        reads = method.__name__ == "read"
+        cut = world.t < max(self.cut_store_until, self.refused_until)
+        if reads or cut or not world.loses_answer(self):
+            return super().call(then, fail, method, *args, too_large=too_large)
+
+        def carry_out() -> None:
+            try:
+                method(*args)
+            except (Refused, TooLarge):
+                return
+            world.answers_lost += 1
+
+        def unanswered() -> None:
+            if life == self.life:
+                fail()
+                self.flush()
+
+        world.after(world.rng.uniform(0.001, 0.01), carry_out)
+        world.after(STORE_S, unanswered)
+        if world.rng.random() < 0.3:
+            self.blind_until = world.t + world.rng.uniform(1.0, 6.0)
+
+    def follow(self) -> None:
+        if self.world.t >= self.blind_until:
+            super().follow()
+
+    def frame(self, data: bytes) -> None:
+        if self.world.halts_lost and isinstance(msgspec.msgpack.decode(data, type=m.Frame).body, m.Halt):
+            frame = msgspec.msgpack.decode(data, type=m.Frame)
+            data = msgspec.msgpack.encode(msgspec.structs.replace(frame, body=m.Pulse()))
+        super().frame(data)
+
+
+class Answers(World):
+    """Users cancel through all controllers, and ask all of them again and again; answers of the store are lost."""
+
+    process = AnswersLost
+    lost_share, lost_from, lost_until = 0.4, 15.0, 90.0
+    halts_lost = False
+
+    def __init__(self, seed, **more):
+        self.answers_lost = 0
+        self.stays: dict[str, float] = {}  # job -> how long after its cancellation was told something of it was there
+        super().__init__(seed, **more)
+        self.meets = True
+
+    def loses_answer(self, sim):
+        return self.lost_from <= self.t < self.lost_until and self.rng.random() < self.lost_share
+
+    def watch(self):
+        for part in self.on:
+            job = wire.split_task(part)[0]
+            if self.t > self.cancelled_at.get(job, math.inf):
+                self.stays[job] = self.t - self.cancelled_at[job]
+        for job in self.cancelled_at:
+            for sim in self.nodes.values():
+                state = self.question(sim, job)
+                if state is not None:
+                    self.answer(job, state)
+        super().watch()
+
+
+@pytest.mark.parametrize("nodes, seed", [(3, 30000), (3, 30001), (5, 30002)])
+def test_rules_hold_while_answers_are_lost(nodes, seed):
+    """With the world's other troubles."""
+    world = Answers(seed, nodes=nodes, pipelines=1)
+    for number in range(8):
+        world.after(20.0 + 9.0 * number, world.cancel_any)
+    world.run(200.0)
+    world.remembered()
+    assert world.answers_lost > 30 and world.starts > 0
+    assert sum(at < math.inf for at in world.cancelled_at.values()) >= 5
+
+
+# -- cancelled while one controller's work changes hands ------------------------------
+
+HANDS_AT, JOBS_OF, STEP_S = 40.0, 14, 1.1
+
+
+class Hands(Answers):
+    """A controller's jobs are cancelled one after the other, from a little before its work changes hands.
+
+    Each is asked of all controllers every half second: of the old home, of the new one, and of a third.
+    """
+
+    most_jobs = 3 * JOBS_OF
+
+    def __init__(self, seed, nodes=3, **more):
+        super().__init__(seed, nodes=nodes, jobs=0, trouble=False, **more)
+        self.lost_share = 0.0
+        self.unasked = ""  # asked of less often, so that it has yet to hear of some when others have told their end
+        self.asked: dict[str, float] = {}
+        self.told: dict[str, float] = {}
+        for number in range(self.most_jobs):
+            self.after(self.rng.uniform(1.0, 10.0), self.submit, self.job_of(number))
+
+    def job_of(self, number):
+        return msgspec.structs.replace(self.make_job(number), kind="sweep", team="free", cpus=1.0, tasks=2,
+                                       estimate_s=1000.0, types=None, zone=None, one_zone=False, spread=False)
+
+    def leader(self):
+        return msgspec.json.decode(self.store.data[VIEW][0], type=View).leader
+
+    def jobs_of(self, label):
+        return sorted(job for job in self.accepted
+                      if msgspec.json.decode(self.store.data[JOBS + job][0], type=Record).home == label)
+
+    def ask_all(self, job):
+        self.asked.setdefault(job, self.t)
+        if job not in self.said:
+            for label, sim in self.nodes.items():
+                if label != self.unasked or self.rng.random() < 0.2:
+                    self.withdraw_once(sim, job)
+            self.after(0.5, self.ask_all, job)
+
+    def withdraw_once(self, sim, job):
+        later, self.withdraw = self.withdraw, lambda job: None  # it is repeated here
+        self.withdraw_through(sim, job)
+        self.withdraw = later
+
+    def answer(self, job, state):
+        super().answer(job, state)
+        if job in self.said:
+            self.told.setdefault(job, self.t)
+
+
+def hands(seed, change, halts_lost=True, lost=False, until=HANDS_AT + 85.0, nodes=3):
+    """``change`` of the leader's work; ``lost``: the answers of its last ends are."""
+    world = Hands(seed, nodes)
+    world.run(HANDS_AT - 2.0)
+    label = world.leader()
+    sim, jobs = world.nodes[label], world.jobs_of(label)
+    assert len(jobs) >= 6 and len(world.on) > JOBS_OF
+    world.halts_lost = halts_lost
+    world.unasked = label
+    for number, job in enumerate(jobs):
+        world.after(STEP_S * number, world.ask_all, job)
+    if lost:
+        world.loses_answer = lambda one: one is sim and world.t < HANDS_AT + 8.0
+    change(world, sim)
+    world.run(until)
+    assert set(world.told) >= set(jobs)
+    world.remembered()
+    world.longest = max(world.told[job] - world.asked[job] for job in jobs)
+    return world
+
+
+def ends(world, sim):
+    world.after(2.0, world.end, sim, 15.0)
+
+
+def ends_and_is_back(world, sim):
+    world.after(2.0, world.end, sim, 0.2)
+
+
+def is_cut_off(world, sim):
+    """It acts on under the older view, for its users and workers, while another has begun the next one."""
+    def dark():
+        sim.cut_store_until = sim.cut_mesh_until = world.t + 25.0
+    world.after(2.0, dark)
+
+
+def hands_over_again_and_again(world, sim):
+    """A view every four seconds for half a minute: whatever each begins anew would add up."""
+    for number in range(8):
+        world.after(2.0 + 4.0 * number, lambda: world.end(world.nodes[world.leader()], 0.3))
+
+
+CHANGES = [ends, ends_and_is_back, is_cut_off, hands_over_again_and_again]
+
+
+@pytest.mark.parametrize("seed, change, lost, halts_lost", [
+    (1, ends, True, True), (2, ends_and_is_back, False, True), (3, is_cut_off, True, True),
+    (4, hands_over_again_and_again, True, False)])
+def test_jobs_cancelled_while_work_changes_hands_end_once_and_are_gone_in_time(seed, change, lost, halts_lost):
+    """Asked of the old home, of the new one and of a third at each step; of its last ends the answers are lost."""
+    world = hands(seed, change, lost=lost, halts_lost=halts_lost)
+    assert (world.answers_lost > 0) is lost
+    assert world.longest < 20.0 and max(world.stays.values()) < CANCEL_S, "each is told, and gone"
+
+
+def halts_nothing_itself(monkeypatch):
+    monkeypatch.setattr(Node, "cancelled", lambda self, job: False)
+
+
+def needs_no_contact(monkeypatch):
+    monkeypatch.setattr(Contact, "_reckon", lambda self: setattr(self, "until", math.inf))
+
+
+def tells_what_it_last_knew(monkeypatch):
+    """The home, of a job whose end is on its way."""
+    real = Node.state_here
+
+    def state_here(self, job, now):
+        mine = self.home.jobs.get(job)
+        if job not in self.replica.ended and mine is not None and self.may_act():
+            return "pending", mine.done.count, 0
+        return real(self, job, now)
+
+    monkeypatch.setattr(Node, "state_here", state_here)
+
+
+@pytest.mark.parametrize("fault, change, rule", [
+    (halts_nothing_itself, ends, "ran_cancelled"), (needs_no_contact, is_cut_off, "went_back"),
+    (tells_what_it_last_knew, ends_and_is_back, "went_back")])
+def test_each_guard_of_a_change_of_hands_is_seen_to_fail(monkeypatch, fault, change, rule):
+    fault(monkeypatch)
+    with pytest.raises(Broken, match=rule):
+        for seed in range(1, 5):
+            hands(seed, change, lost=True)
+
+
+# -- ten leaders in two minutes -----------------------------------------------------------
+
+LEADERS, EACH_S, CALM_S = 10, 12.0, 140.0
+
+
+class Leaders(Hands):
+    """Whoever leads ends, ten times, and is back at once; jobs are cancelled all the time, the store may be away."""
+
+    most_jobs = 20
+
+    def __init__(self, seed, nodes=3, down_s=0.0, machines=14):
+        super().__init__(seed, nodes, machines=machines)
+        self.leaders: list[str] = []
+        for number in range(LEADERS):
+            self.after(HANDS_AT + EACH_S * number, self.next_leader)
+        if down_s:
+            self.after(HANDS_AT + 2.5 * EACH_S, self.store.outage, down_s)
+        self.after(HANDS_AT - 5.0, self.cancel_all)
+
+    def job_of(self, number):
+        return msgspec.structs.replace(super().job_of(number), estimate_s=30.0 + 20.0 * (number % 8))
+
+    def next_leader(self):
+        self.leaders.append(self.leader())
+        self.end(self.nodes[self.leader()], self.rng.uniform(0.3, 8.0))
+
+    def cancel_all(self):
+        for number, job in enumerate(sorted(self.accepted)[::2]):
+            self.after(7.0 * number, self.ask_all, job)
+
+
+def leaders(seed, until=HANDS_AT + LEADERS * EACH_S + CALM_S, **more):
+    world = Leaders(seed, **more)
+    world.run(until)
+    world.remembered()
+    return world
+
+
+@pytest.mark.parametrize("seed, down_s", [(1, 0.0), (2, 50.0)])
+def test_ten_leaders_in_two_minutes_keep_the_rules_and_end_all_jobs(seed, down_s):
+    world = leaders(seed, down_s=down_s)
+    assert len(world.leaders) == LEADERS and len(set(world.leaders)) > 1
+    assert not [job for job in world.accepted if job not in world.said], "all have ended"
+    waits = [world.told[job] - world.asked[job] for job in world.asked]
+    assert max(waits) < 20.0 + down_s and max(world.stays.values()) < CANCEL_S
