What was ordered of a cancelled job counts for its team under the next home

Cause: the table of squaring passed over an order that a carried machine's part told (HELD) of a job that is over. With the last machine squared the task was free, though it may run there for a lease yet: the team's room went to others (quota).

Change: it is adopted, as for an active job; a report, the lease or the return frees it.

--- a/alderbridge/recovery/table.py
+++ b/alderbridge/recovery/table.py
@@ -25,7 +25,7 @@
 
 class Told(IntEnum):
     LIVE = 0  # fetching, running or saving
-    HELD = 1  # ordered, and not yet seen in a report: no proof of anything
+    HELD = 1  # ordered, and not yet seen in a report: no proof of anything, so what may be on the machine counts there
     DONE = 2  # ended, with a result
     ERROR = 3  # ended, failed
     STOPPED = 4  # ended: halted, or refused as full, busy or unknown; also a service that ended
@@ -51,7 +51,8 @@
 TABLE: tuple[tuple[Verdict, ...], ...] = (
     # LIVE            HELD        DONE           ERROR          STOPPED        ABSENT
     (_V.HALT,          _V.NOTHING, _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # STRANGER
-    (_V.ADOPT_HALT,    _V.NOTHING, _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.STRIKE),   # OVER
+    # Of a cancelled job, too: passed over, what was ordered was in nobody's count of its team once all were squared.
+    (_V.ADOPT_HALT,    _V.ADOPT,   _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.STRIKE),   # OVER
     (_V.PROGRESS_HALT, _V.NOTHING, _V.FREE_CLEAR, _V.FREE_CLEAR, _V.FREE_CLEAR, _V.FREE),     # OVER_HERE
     (_V.HALT,          _V.NOTHING, _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # DONE
     (_V.HALT,          _V.NOTHING, _V.FINISH,     _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # COUNTED
