Room below a team's limit that holds no task of the first job goes to the next

Cause: the leader gave a team's remaining limit to the homes of waiting jobs in their order, also less than one of the job's tasks takes. Kept at that home it let smaller tasks at other homes wait beside free machines, the team below its limit, for as long as the first waited.

Change: needs are given in whole tasks (policy.Need); for a job of which nothing began for BEGIN_TURN_S what there is is kept, as before, until it holds a task, so that no size starves.

Two calls in tests/test_policy.py take Need in place of pairs; the random one draws task sizes, too.

--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -22,7 +22,7 @@
 from . import placement, policy
 from .config import Team, Tuning
 from .mesh import Queue, QueueRow, Room, RoomRow
-from .policy import Demand, Kind, Market, Resource
+from .policy import Demand, Kind, Market, Need, Resource
 from .recovery import HoldBack, Knowledge
 from .replica import Replica
 from .wire import JobSpec, Listed, MachineType
@@ -313,19 +313,23 @@
             log.info("machine=%s state=leaving cause=%s", name, cause)
         decision.drain.append(name)
 
-    def _needs(self) -> dict[str, tuple[list[tuple[str, float]], list[tuple[str, float]]]]:
-        """Per team, what waits where (cpus, gpus), in the order of placement."""
+    def _needs(self) -> dict[str, tuple[list[Need], list[Need]]]:
+        """Per team, what waits where (cpus, gpus), in the order of placement.
+
+        For a job of which nothing ran for long, room is kept until it holds a task: smaller ones would take it all.
+        """
         waiting = []
         for label in self.members:
             for row in self.queues[label][0].rows:
                 spec = self.replica.spec(row.job)
                 if spec is not None and row.waited_s >= 0:  # before its turn after an opening it takes no allowance
-                    waiting.append((placement.order(row, spec, row.due_in_s), label, row.waiting, spec))
-        needs: dict[str, tuple[list, list]] = {team.name: ([], []) for team in self.teams}
-        for _, label, count, spec in sorted(waiting, key=lambda entry: entry[:2]):
+                    kept = row.waited_s >= c.BEGIN_TURN_S and row.waiting == spec.tasks
+                    waiting.append((placement.order(row, spec, row.due_in_s), label, row.waiting, spec, kept))
+        needs: dict[str, tuple[list[Need], list[Need]]] = {team.name: ([], []) for team in self.teams}
+        for _, label, count, spec, kept in sorted(waiting, key=lambda entry: entry[:2]):
             if spec.team in needs:
-                needs[spec.team][0].append((label, count * spec.cpus))
-                needs[spec.team][1].append((label, count * spec.gpus))
+                needs[spec.team][0].append(Need(label, count * spec.cpus, spec.cpus, kept))
+                needs[spec.team][1].append(Need(label, count * spec.gpus, spec.gpus, kept))
         return needs
 
     def allots(self) -> dict[str, dict[str, tuple[float, float]]]:
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -433,20 +433,34 @@
     return c.PAID_BLOCK_S - age_s % c.PAID_BLOCK_S <= within_s
 
 
+class Need(NamedTuple):
+    """What a job's waiting tasks at a home would take of their team's limit."""
+
+    home: str
+    amount: float
+    each: float = 0.0  # of one task: less than that is of no use
+    kept: bool = False  # less than that is kept for it all the same, until it holds a task
+
+
 def divide(limit: float, used: dict[str, float], held: dict[str, float], given: dict[str, float],
-           needs: Sequence[tuple[str, float]]) -> dict[str, float]:
+           needs: Sequence[Need]) -> dict[str, float]:
     """Shares of a team's limit; their sum with what is still held never exceeds it.
 
     ``held`` is what each home reported under its last allotment ``given``; it
     counts until a smaller allotment is confirmed. What is not used goes to the
     waiting tasks in their order (``needs``), wherever their home is, and what
     then remains evenly to all, so that new work can start at once.
+
+    What holds none of a job's tasks goes on to the next: kept at a home that could not use it, it let other homes'
+    smaller tasks wait beside free machines for as long as the first waited.
     """
     homes = sorted(held)
     left = max(0.0, limit - sum(used.values()))
     target = dict(used)
-    for home, amount in needs:
-        amount = min(amount, left)
+    for home, amount, each, kept in needs:
+        if amount > left:
+            whole = math.floor(left / each + 1e-9) * each if each > 0 else left
+            amount = left if kept and not whole else whole
         target[home] += amount
         left -= amount
     for home in homes:
--- a/tests/test_meetings_limits.py
+++ b/tests/test_meetings_limits.py
@@ -1,14 +1,31 @@
 """Teams at their limits: cancelled jobs' tasks on machines that can't be asked, while leaders and homes change."""
 
+from __future__ import annotations
+
+import math
+import sys
+import time
+from unittest.mock import patch
+
 import msgspec
+import pytest
+import world
 from test_machines import SPEC
 from test_meetings_machines import Told
+from world import LEASE_S, TYPES, Broken, World
 
-from alderbridge.config import Team
-from alderbridge.jobs import Home, Job, JobState, Record, TaskState
-from alderbridge.mesh import Seen, SeenTask
+from alderbridge import constants as c
+from alderbridge import placement, wire
+from alderbridge.config import Team, Tuning
+from alderbridge.dependencies import Graph
+from alderbridge.jobs import Home, Job, JobState, Record, Run, TaskState
+from alderbridge.leader import Leader
+from alderbridge.mesh import Queue, QueueRow, Seen, SeenTask
 from alderbridge.recovery import TABLE, Known, Verdict
 from alderbridge.recovery import Told as Column
+from alderbridge.replica import Replica
+from alderbridge.store import VIEW
+from alderbridge.view import Membership, View
 from alderbridge.wire import MachineRecord
 
 CPUS = 4.0
@@ -80,3 +97,237 @@
 def test_whatever_a_home_knows_of_a_task_an_order_that_no_report_has_settled_counts():
     for known in (Known.OVER, Known.WAITING, Known.POSSIBLE):
         assert TABLE[known][Column.HELD] is Verdict.ADOPT
+
+
+# -- what the leader gives -----------------------------------------------------------
+
+class Shares:
+    """A leader and two homes: one has a task of the team running, and waiting jobs."""
+
+    def __init__(self, limit: float, waited_s: float = 30.0) -> None:
+        membership = Membership("host-0", 20.0, 12.0)
+        known = Replica(membership, Graph(lambda spec: 1.0, []))
+        self.leader = Leader([Team("t", cpus_max=limit)], ["a"], Tuning(), known, 1.0, LEASE_S)
+        self.leader.enter(["host-0", "host-1"], 0.0)
+        self.homes = {label: Home(self.leader.teams, lambda label, body: 1, 4096) for label in self.leader.members}
+        for home in self.homes.values():
+            home.enter(5, {}, {})
+        self.rows: dict[str, list[QueueRow]] = {label: [] for label in self.homes}
+        self.waited_s = waited_s
+
+    def job(self, label: str, name: str, cpus: float, tasks: int, running: int, due_s: float) -> Job:
+        spec = msgspec.structs.replace(SPEC, id=name, cpus=cpus, tasks=tasks)
+        record = Record(JobState.ACTIVE, label, 0.0, tasks, [], spec)
+        job = Job(record, 1, 0.0, 0.0, fresh=True)
+        self.leader.replica.saw_job(name, record, 1)
+        self.homes[label].join(job)
+        for _ in range(running):
+            index = job.pick(0.0)
+            job.grant(index, Run("n-1", "a", 7, 0, TaskState.RUNNING, 0.0))
+        self.rows[label].append(QueueRow(name, job.waiting, 0, due_s, 10.0, None, self.waited_s, False, False))
+        return job
+
+    def give(self, rounds: int = 4) -> dict[str, float]:
+        """Allowances when they are given and confirmed."""
+        for _ in range(rounds):
+            for label, home in self.homes.items():
+                used = home.used()
+                queue = Queue(self.rows[label], used, home.held(used), home.want(used), home.allots)
+                self.leader.on_queue(label, queue, 1.0)
+            held = sum(home.held(home.used()).get("t", (0.0, 0.0))[0] for home in self.homes.values())
+            assert held <= self.leader.teams[0].cpus_max + 1e-6
+            for label, teams in self.leader.allots().items():
+                self.homes[label].allot(teams)
+        return {label: home.usage.allowed["t"][0] for label, home in self.homes.items()}
+
+
+def test_room_below_a_limit_that_holds_no_task_of_the_first_job_goes_to_the_next():
+    """It was kept at the first job's home, and another's small tasks waited beside free machines meanwhile."""
+    shares = Shares(10.0)
+    shares.job("host-0", "wk-1", 4.0, 5, 2, 10.0)
+    small = shares.job("host-1", "wk-2", 1.0, 9, 0, 20.0)
+    assert shares.give()["host-1"] >= 2.0
+    assert shares.homes["host-1"]._team_room(small) == 2
+
+
+def test_room_below_a_limit_is_kept_for_a_job_of_which_nothing_began_for_long():
+    """Else the small tasks of other homes took each CPU as it came free, and a large one never began."""
+    shares = Shares(10.0, waited_s=c.BEGIN_TURN_S)
+    shares.job("host-0", "wk-0", 7.0, 1, 1, 5.0)
+    shares.job("host-0", "wk-1", 4.0, 5, 0, 10.0)
+    shares.job("host-1", "wk-2", 1.0, 9, 0, 20.0)
+    assert shares.give() == {"host-0": 10.0, "host-1": 0.0}
+
+
+# -- random runs: every team at its limit, all the time ----------------------------------
+
+TIGHT = [Team("red", cpus=4.0, cpus_max=12.0), Team("green", cpus_max=16.0), Team("blue", cpus=8.0, cpus_max=8.0)]
+SPELLS, SPELL_S = 4, 26.0
+BESIDE_S = 90.0  # so long nothing waits, once all is over, beside room that fits, its team below its limit
+
+
+class LimitsWorld(World):
+    """Long jobs of three teams with limits; cancelled as their machines fail, as leaders and homes end."""
+
+    def __init__(self, seed: int, nodes: int, **more) -> None:
+        self.peak = {team.name: 0.0 for team in TIGHT}
+        self.full_at: dict[str, float] = {}
+        self.cancelled_running = self.cancelled_out = 0
+        self.over_at = math.inf  # all spells are over
+        self.beside: dict[str, float] = {}  # job -> since when it waits beside room that fits, its team below its limit
+        super().__init__(seed, jobs=0, trouble=False, nodes=nodes, machines=30, **more)
+        self.meets = True  # users cancel through any controller
+        rng = self.rng
+        for number in range(36):
+            self.after(rng.uniform(1.0, 15.0) if number < 15 else rng.uniform(15.0, 110.0), self.submit,
+                       self.make_bound(number))
+        for number in range(SPELLS):
+            self.after(30.0 + SPELL_S * number + rng.uniform(0.0, 10.0), self.spell)
+
+    def make_bound(self, number: int):
+        rng, service = self.rng, self.rng.random() < 0.15
+        return msgspec.structs.replace(
+            self.make_job(number), team=TIGHT[number % 3].name, kind="standing" if service else "sweep",
+            tasks=2 if service else rng.randint(1, 9), job_class="long", spot=True, types=None,
+            estimate_s=0.0 if service else 60.0)
+
+    def make_filler(self, number: int):
+        return msgspec.structs.replace(self.make_bound(number), kind="sweep", tasks=16, cpus=1.0, job_class="soon",
+                                       estimate_s=1000.0, zone=None, one_zone=False, spread=False)
+
+    def spell(self) -> None:
+        """Machines hang, are cut off or die; what runs on them is cancelled; the leader, or a home of it, ends."""
+        rng = self.rng
+        busy = sorted({name for name in self.on.values() if self.machines.get(name) is not None})
+        for name in rng.sample(busy, min(len(busy), rng.randint(1, 4))):
+            begin, length = rng.uniform(0.0, 3.0), rng.choice([rng.uniform(2.0, 15.0), rng.uniform(15.0, 50.0)])
+            kind = rng.choice(["hang", "hang", "cut", "cut", "deaf", "held_up", "die"])
+            self.after(begin, self.fail, name, kind, length)
+            self.calm_at = max(self.calm_at, self.t + begin + length)
+            here = sorted({wire.split_task(part)[0] for part, machine in self.on.items() if machine == name})
+            for job in rng.sample(here, min(len(here), rng.randint(1, 3))):
+                self.after(begin + rng.uniform(-1.0, 4.0) if begin > 1.0 else rng.uniform(0.0, 4.0), self.call_off, job)
+        leads = rng.uniform(0.0, 5.0)
+        for _ in range(rng.choice([1, 1, 1, 2, 4])):
+            back = rng.choice([rng.uniform(0.1, 0.6), rng.uniform(0.1, 8.0), rng.uniform(5.0, 40.0)])
+            self.after(leads, self.end_one, rng.random() < 0.6, back)
+            leads += rng.choice([rng.uniform(0.2, 1.5), rng.uniform(0.5, 6.0)])
+            self.calm_at = max(self.calm_at, self.t + leads + back)
+        if rng.random() < 0.3:
+            kind = rng.choice(["cut", "cut_store", "cut_mesh", "cut_workers", "outage", "late_writes", "late_reports"])
+            length = rng.uniform(3.0, 35.0)
+            self.after(rng.uniform(0.0, 5.0), self.bring, kind, self.nodes[rng.choice(self.labels)], length)
+            self.calm_at = max(self.calm_at, self.t + 5.0 + length)
+
+    def call_off(self, job: str) -> None:
+        if job not in self.said:
+            out = [self.machines[name] for part, name in self.on.items() if wire.split_task(part)[0] == job]
+            self.cancelled_running += bool(out)
+            self.cancelled_out += any(worker.hangs_until > self.t or worker.cut_until > self.t for worker in out
+                                      if worker is not None)
+        self.withdraw(job)
+
+    def fail(self, name: str, kind: str, length: float) -> None:
+        worker = self.machines.get(name)
+        if worker is None:
+            return
+        if kind == "die":
+            worker.die()
+        else:
+            attribute = {"hang": "hangs_until", "cut": "cut_until", "deaf": "deaf_until", "held_up": "held_up_until"}
+            setattr(worker, attribute[kind], self.t + length)
+
+    def end_one(self, leader: bool, back: float) -> None:
+        label = msgspec.json.decode(self.store.data[VIEW][0], type=View).leader if leader and VIEW in self.store.data \
+            else self.rng.choice(self.labels)
+        self.end(self.nodes[label], back)
+
+    def entered(self, part, worker) -> None:
+        super().entered(part, worker)
+        team = self.specs[wire.split_task(part)[0]].team
+        used = self.use(team)
+        self.peak[team] = max(self.peak[team], used)
+        limit = next(one.cpus_max for one in TIGHT if one.name == team)
+        if self.t > self.over_at and used > limit - 0.5:
+            self.full_at.setdefault(team, self.t)
+
+    def watch(self) -> None:
+        super().watch()
+        if self.t > self.over_at:
+            self.look_beside_room()
+
+    def look_beside_room(self) -> None:
+        """By what is true of machines and users, whatever the controllers take for true."""
+        rooms = {worker: TYPES[worker.kind.type].cpus for worker in self.machines.values()
+                 if worker is not None and worker.alive and not worker.faulty and worker.recall_at is None}
+        zones: dict[str, list[str]] = {}
+        for worker in rooms:
+            for part, task in worker.tasks.items():
+                if task.status != "ended":
+                    job = wire.split_task(part)[0]
+                    rooms[worker] -= self.specs[job].cpus
+                    zones.setdefault(job, []).append(worker.kind.zone)
+        left = {team.name: team.cpus_max - self.use(team.name) for team in TIGHT}
+        for job in self.accepted:
+            spec, there = self.specs[job], zones.get(job, [])
+            done = sum(f"{job}/{index}" in self.completed for index in range(spec.tasks))
+            waits = job not in self.said and job not in self.cancelled_at and done + len(there) < spec.tasks
+            if not waits or spec.cpus > left[spec.team] + 1e-9 or not any(
+                    room >= spec.cpus and placement.allowed(spec, worker.kind.type, worker.kind.zone, worker.kind.spot)
+                    and (not spec.one_zone or not there or worker.kind.zone == there[0])
+                    and (not spec.spread or there.count(worker.kind.zone) < math.ceil(spec.tasks / 2))
+                    for worker, room in rooms.items()):
+                self.beside.pop(job, None)
+            elif self.t - self.beside.setdefault(job, self.t) > BESIDE_S:
+                raise Broken(f"beside_room: {job} of {spec.team} since {self.beside[job]:.1f}")
+
+    def use(self, team: str) -> float:
+        specs = [self.specs[wire.split_task(part)[0]] for part in self.on]
+        return sum(spec.cpus for spec in specs if spec.team == team)
+
+    def play(self) -> LimitsWorld:
+        self.run(30.0 + SPELL_S * SPELLS + 12.0)
+        self.over_at = over = max(self.calm_at, self.t)
+        for number in range(9):
+            self.after(over - self.t + 0.1 * number, self.submit, self.make_filler(60 + number))
+        self.run(over + BESIDE_S + 20.0)
+        for team in TIGHT:
+            if self.use(team.name) > team.cpus_max - 0.5:
+                self.full_at.setdefault(team.name, self.t)
+        return self
+
+
+def limits(seed, nodes):
+    """``TEAMS`` of the world: what its controllers are told, and what its rules count by."""
+    with patch.object(world, "TEAMS", TIGHT):
+        return LimitsWorld(seed, nodes).play()
+
+
+@pytest.mark.parametrize("seed, nodes", [(1, 3), (2, 5), (3, 3), (4, 5)])
+def test_no_team_uses_more_than_its_limit_and_each_gets_to_it_again(seed, nodes):
+    run = limits(seed, nodes)
+    assert run.cancelled_out > 0 and run.starts > 50
+    assert all(run.peak[team.name] == team.cpus_max for team in TIGHT)
+    assert sorted(run.full_at) == sorted(team.name for team in TIGHT), "nothing is kept for what is over"
+    run.remembered()
+
+
+def main() -> int:
+    """Many runs by hand: the first seed, how many, and in steps of how many."""
+    first, count, step = map(int, sys.argv[1:4])
+    for seed in range(first, first + count * step, step):
+        began = time.process_time()
+        try:
+            run = limits(seed, 5 if seed % 2 else 3)
+            run.remembered()
+            missing = sorted({team.name for team in TIGHT} - run.full_at.keys())
+            text = f"{run.starts} starts, {run.cancelled_running} cancelled running, {run.cancelled_out} out of reach"
+            text += f", NOT AT ITS LIMIT: {missing}" if missing else ""
+        except AssertionError as broken:
+            text = f"BROKEN {broken}"
+        print(f"seed {seed}: {text}, {time.process_time() - began:.1f} s", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -186,7 +186,8 @@
     held, given = dict.fromkeys(homes, 0.0), dict.fromkeys(homes, 0.0)
     used = dict.fromkeys(homes, 0.0)
     for _ in range(500):
-        needs = [(rng.choice(homes), rng.uniform(0.0, 80.0)) for _ in range(rng.randint(0, 4))]
+        needs = [policy.Need(rng.choice(homes), rng.uniform(0.0, 80.0), rng.choice([0.0, 1.0, 40.0]), kept)
+                 for kept in rng.choices([False, True], k=rng.randint(0, 4))]
         shares = policy.divide(100.0, used, held, given, needs)
         assert sum(max(held[h], shares.get(h, 0.0)) for h in homes) <= 100.0 + 1e-6
         given = shares
@@ -197,7 +198,8 @@
 
 def test_what_is_not_used_goes_to_the_soonest_need():
     homes = {"a": 60.0, "b": 0.0}
-    shares = policy.divide(100.0, dict(homes), dict(homes), {"a": 60.0, "b": 0.0}, [("b", 30.0), ("a", 50.0)])
+    needs = [policy.Need("b", 30.0), policy.Need("a", 50.0)]
+    shares = policy.divide(100.0, dict(homes), dict(homes), {"a": 60.0, "b": 0.0}, needs)
     assert shares == {"a": 70.0, "b": 30.0}
 
 
