A record shown after the answer to its drop is no leave to run

Cause: keep_record forgot a drop with its answer, and took a record that an older answer of the store showed afterwards for standing: the machine was given run without a record, and no later view waited for it (ran_twice was possible). Change: a drop that was sent stays known until the machine is recorded anew.

--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -145,7 +145,7 @@
         self.offers = placement.Offers()
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
-        self.drops_sent: set[str] = set()  # of these, those whose drop may be carried out at any moment
+        self.drops_sent: set[str] = set()  # machines whose drop was sent, and that were not recorded since
         self.dropping_lists: list[str] = []  # keys of lists whose jobs are over
         self.doomed_at: dict[str, float] = {}  # since when this node knows that a job before it is aborted
         self.wall = 0.0  # time of day less ``now``
@@ -706,6 +706,7 @@
         later views, from which no part would ever strike it.
         """
         self.replica.machines[name] = max(stamp, self.replica.machines.get(name, 0))
+        self.drops_sent.discard(name)  # all of them are settled, or assert an older record
         self.part.on_recorded(name)
 
     def _written_since(self, name: str, batch: Batch) -> bool:
@@ -720,12 +721,13 @@
         self.replica.machines.pop(name, None)
         self.replica.records.pop(name, None)
         self.dropping = [other for other in self.dropping if other != name]
-        self.drops_sent.discard(name)
 
     def keep_record(self, name: str) -> bool:
         """A machine that lapsed is back: its record stays where it is, if no drop of it was ever sent under this view.
 
-        One that was sent may be carried out late, when tasks are on the machine again.
+        One that was sent may be carried out late, when tasks are on the machine again. One that was answered may yet
+        have to arrive in the replica, which shows the record until then: taken for recorded by that, the machine ran
+        tasks that no later view waited for (docs/incidents/record-shown-late.md). So only a newer put is an answer.
         """
         if name in self.drops_sent or not (name in self.part.to_drop or name in self.dropping):
             return False
