--- a/tests/test_meetings_hosts.py
+++ b/tests/test_meetings_hosts.py
@@ -1,10 +1,25 @@
 """Two troubles at once, on the machines' side: quick boots, mute machines, old reports that meet a new leader."""
 
+from collections import Counter
+
+import msgspec
 import pytest
-from test_meetings_store import LEASE_S, Alone
+from test_meetings_machines import OUT_S, RUNNING, Meetings, Told
+from test_meetings_store import LEASE_S, SETTLED_S, Alone, machine_of
+from world import Broken, SimWorker, World
 
+from alderbridge import constants as c
+from alderbridge import mesh as m
+from alderbridge.jobs import JobState
 from alderbridge.machines import MachineState
-from alderbridge.store import MACHINES
+from alderbridge.store import MACHINES, VIEW
+from alderbridge.view import View
+from alderbridge.wire import ReportedTask
+
+RUNNING_1 = ReportedTask("wk-000001/0", 70, "running")
+
+# -- machines that boot at once ---------------------------------------------------
+
 
 
 @pytest.mark.parametrize("how", ("followed", "read anew"))
@@ -37,3 +52,304 @@
     alone.follow()
     alone.write()
     assert machine.recorded and MACHINES + name in alone.store.data, "put anew"
+
+
+@pytest.mark.parametrize("carried_out", ("before the view", "after the view", "before it, unanswered"))
+def test_what_may_run_on_a_new_machine_is_waited_for_by_the_next_view(carried_out):
+    """The put of its record is on its way, a task is granted, and the leader that owns the machine ends."""
+    alone = Alone("host-1")
+    other, name = alone.other("host-1"), machine_of("host-0", "host-0", "host-1")
+    alone.job()
+    machine = alone.beat(name, 1)
+    put = alone.batch()
+    assert MACHINES + name in put.puts
+    alone.node.part.on_grant("host-0", m.Grant(alone.node.part.reserve(machine, "wk-000001", 1), "wk-000001", name,
+                                               [(0, 70)]), alone.t)
+    assert not alone.node.part.orders(machine), "not before the store holds its record"
+    if carried_out == "before the view":
+        alone.node.batch_done(put, alone.carry_out(put).epoch, alone.t)
+        assert [order["verb"] for order in alone.node.part.orders(machine)] == ["run"]
+    elif carried_out == "before it, unanswered":
+        assert not alone.carry_out(put).failed
+        alone.node.batch_failed(put, alone.t)
+    alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.permits["host-1"]})})
+    if carried_out == "after the view":
+        assert VIEW in alone.carry_out(put).failed
+        assert not alone.node.part.orders(machine), "nor ever, though it acts under the older view for a while"
+    other.follow()
+    waits = carried_out != "after the view"
+    assert (name in other.node.part.machines) is waits and (name in other.node.home.barrier) is waits
+    job = other.node.home.jobs["wk-000001"]
+    assert job.unknown == ({0, 1, 2} if waits else set())
+    if waits:
+        other.beat(name, 2, [RUNNING_1])
+        assert not job.unknown and list(job.runs) == [0]
+
+
+def test_a_machine_whose_rental_was_answered_to_nobody_is_known_before_the_list_shows_it_and_gets_work():
+    """The requester ends between rental and answer; machines are up within a second; the list is behind for long."""
+    world = QuickBoots(2, jobs=14)
+    world.ends_until = 0.0
+    world.listing = lambda: [host for host in World.listing(world) if world.t > 60.0]
+    world.run(20.0)
+    kind = next(kind for kind, _ in world.kinds.values())
+    leader, names = world.leader(), world.rent(kind, 3)
+    world.end(leader, 40.0)
+    world.run(40.0)
+    leads = world.leader()
+    assert leads is not leader
+    machines = world.known()
+    for name in names:
+        assert machines[name].state is MachineState.UP and machines[name].recorded
+        assert leads.node.leader.rentals[name].state.value == "up"
+    world.run(130.0)
+    assert all(name not in world.kinds or world.ran[name] for name in names), "used, or returned"
+    assert any(world.ran[name] for name in names)
+
+
+class QuickWorker(SimWorker):
+    def carry_out(self, order):
+        """The world's own account: whoever is told to run something is in the store."""
+        if order["verb"] == "run" and MACHINES + self.name not in self.world.store.data:
+            raise Broken(f"unrecorded: {order['part']} on {self.name} at {self.world.t:.2f}")
+        self.world.ran[self.name] += order["verb"] == "run"
+        super().carry_out(order)
+
+
+class QuickNode(World.process):
+    """Its rentals are carried out at once, their answers come late or, if it has ended, to nobody."""
+
+    def lead(self):
+        node, world, rng, life = self.node, self.world, self.world.rng, self.life
+        if not node.membership.leads(world.t):
+            return
+        node.leader.on_listing(world.listing(), world.t)
+        decision = node.leader.decide(world.t)
+        node.drain(decision.drain, world.t)
+        for kind, count in decision.rent:
+            names = world.rent(kind, count)
+
+            def told(kind=kind, names=names):
+                if life == self.life:
+                    node.leader.on_rented(kind, names, world.t)
+
+            world.after(rng.uniform(0.2, 4.0), told)
+            world.rented += len(names)
+        if decision.give_back:
+            world.remove(decision.give_back)
+            if rng.random() < 0.7:
+                node.returned(decision.give_back, world.t)
+        if decision.rent and world.t < world.ends_until and rng.random() < 0.8:
+            world.ended_leaders += 1
+            world.after(rng.uniform(0.0, 2.5), world.end_if_up, self, life)
+
+
+class QuickBoots(Meetings):
+    """All machines are up within two seconds, some of them are gone again within seconds; writes lag, leaders end."""
+
+    process = QuickNode
+    ends_until = 110.0
+    rented = ended_leaders = 0
+
+    def __init__(self, *args, **more):
+        self.ran = Counter()
+        super().__init__(*args, **more)
+
+    def end_if_up(self, sim, life):
+        if sim.life == life:
+            self.end(sim, self.rng.choice([0.2, 2.0, 12.0]))
+
+    def rent(self, kind, count):
+        names = super().rent(kind, count)
+        for name in names:
+            self.after(self.rng.uniform(0.2, 2.0), self.boot, name, kind)  # the slow boot of the world finds it up
+        return names
+
+    def boot(self, name, kind):
+        if name not in self.kinds or self.machines[name] is not None:
+            return
+        worker = self.machines[name] = QuickWorker(self, name, kind)
+        short = self.rng.random() if self.t < self.ends_until else 1.0
+        at = self.rng.uniform(0.3, 5.0)
+        if short < 0.15:
+            self.after(at, worker.die)
+        elif short < 0.3:
+            worker.recall_at = self.t + at
+        elif short < 0.5:  # around its lease, so that it lapses or nearly does
+            self.after(at, setattr, worker, "hangs_until", self.t + at + self.rng.uniform(10.0, 30.0))
+
+    def known(self):
+        """All machines, as their parts know them."""
+        return {name: machine for sim in self.nodes.values() if sim.node is not None
+                for name, machine in sim.node.part.machines.items()}
+
+    def make_job(self, number):
+        spec = super().make_job(number)
+        return msgspec.structs.replace(spec, estimate_s=min(spec.estimate_s, 40.0))
+
+    def late_writes(self, from_s, for_s):
+        self.after(from_s, self.bring, "late_writes", next(iter(self.nodes.values())), for_s)
+        self.after(from_s, self.bring, "slow_store", next(iter(self.nodes.values())), for_s)
+
+
+@pytest.mark.parametrize("seed, nodes", ((36, 3), (44, 3), (33, 5)))
+def test_machines_that_boot_at_once_run_nothing_unrecorded_and_are_used_or_returned(seed, nodes):
+    world = QuickBoots(seed, jobs=24, nodes=nodes, machines=200)
+    world.late_writes(3.0, 50.0)
+    world.late_writes(65.0, 40.0)
+    world.run(240.0)
+    world.remembered()
+    assert world.ended_leaders >= 2 and world.starts > 20
+    known = world.known()
+    for name, (_, since) in world.kinds.items():
+        worker = world.machines[name]
+        if world.t - since > c.BOOT_PATIENCE * 10.0 + c.LOST_S + OUT_S + 20.0:  # rented that long ago
+            assert worker is not None and worker.alive, f"{name} is gone, or never came, and is paid for"
+            assert known[name].recorded, f"{name} is up, and nobody's"
+    assert not [job for job in world.accepted if job not in world.said and not world.specs[job].service
+                and world.specs[job].team == "free" and job not in world.cancelled_at]
+
+
+# -- mute machines, and old reports for a new leader ------------------------------------
+
+class MuteWorker(SimWorker):
+    """For a while it reaches no controller; commands reach it, and are answered."""
+
+    mute_until = 0.0
+
+    def send_beat(self):
+        if not self.alive or self.world.t >= self.mute_until or self.world.t < self.hangs_until:
+            return super().send_beat()
+        self.tick()
+        self.counter += 1  # of a report that nobody hears
+        self.in_flight += 1
+        self.next_node()
+
+    def command(self, mandate, tenure, reply):
+        self.tick()
+        if tenure != self.tenure and self.alive:  # 409, and asked again as ``Controller.ask_worker`` does
+            self.world.after(self.way(), super().command, mandate, self.tenure, reply)
+        else:
+            super().command(mandate, tenure, reply)
+
+    def carry_out(self, order):
+        if order["verb"] == "run" and self.world.t < self.mute_until:
+            raise Broken(f"run by a mute machine: {order['part']} on {self.name}")
+        super().carry_out(order)
+
+
+class Keeping(World.process):
+    """Some reports are kept for the next leader, copies or the report itself; see ``Mute.deliver``."""
+
+    def beat(self, raw, reply, again=False):
+        world = self.world
+        if not again and world.rng.random() < world.kept_share:
+            world.kept.append(raw)
+            if world.rng.random() < 0.3:
+                return  # held back: nobody has heard it yet
+        super().beat(raw, reply)
+
+
+class Mute(Meetings):
+    process = Keeping
+    kept_share = 0.0
+
+    def __init__(self, *args, **more):
+        self.kept, self.view_seen, self.delivered = [], 0, 0
+        super().__init__(*args, **more)
+        self.after(0.0, self.deliver)
+
+    def boot(self, name, kind):
+        if name in self.kinds:
+            self.machines[name] = MuteWorker(self, name, kind)
+
+    def deliver(self):
+        """As a new view begins, or when it has acted for some seconds, all controllers get what was kept."""
+        stamp = self.store.data[VIEW][1] if VIEW in self.store.data else 0
+        if stamp != self.view_seen:
+            self.view_seen, kept, self.kept = stamp, self.kept, []
+            for raw in kept:
+                at = self.rng.choice([0.0, 0.0, self.rng.uniform(0.1, 8.0), self.rng.uniform(8.0, 2 * LEASE_S)])
+                for sim in self.nodes.values():
+                    self.after(at + self.rng.uniform(0.0, 0.3), sim.beat, raw, lambda status, body: None, True)
+            self.delivered += len(kept)
+        self.after(0.05, self.deliver)
+
+    def mute(self, share, for_s):
+        for worker in self.rng.sample(self.workers(), int(len(self.workers()) * share)):
+            worker.mute_until = self.t + for_s
+
+    def runs(self, machines):
+        """Tasks that homes have on these machines."""
+        return [(name, index, run.state) for sim in self.nodes.values() if sim.node is not None
+                for name, job in sim.node.home.jobs.items() for index, run in job.runs.items() if run.machine in machines]
+
+
+class Many(Mute):
+    """More than a hundred machines, each with some long tasks."""
+
+    def make_job(self, number):
+        return msgspec.structs.replace(super().make_job(number), kind="sweep", team="free", tasks=14, cpus=4.0,
+                                       types=["small"], zone=None, spot=True, estimate_s=self.rng.uniform(60.0, 120.0))
+
+
+def test_nothing_waits_for_a_hundred_mute_machines_when_the_leader_ends():
+    """All their tasks, inherited or not, are free once their leases are out; jobs on them are cancelled meanwhile."""
+    world = Many(6, jobs=14, machines=170, nodes=5)
+    world.run(110.0)
+    leader, mandate = world.leader(), world.leader().node.membership.mandate
+    busy = sorted(set(world.on.values()))
+    mute = {name for name in world.rng.sample(busy, 100)}
+    for name in mute:
+        world.machines[name].mute_until = world.t + 240.0
+    world.run(world.t + 3.0)
+    world.end(leader, 30.0)
+    for job in sorted({part.split("/")[0] for part, name in world.on.items() if name in mute})[:4]:
+        world.withdraw(job)
+    while all(sim.node is None or sim.node.membership.mandate == mandate for sim in world.nodes.values()):
+        world.run(world.t + 0.25)
+    began = world.t
+    world.run(began + 5.0)
+    assert not world.inherited(), "they are asked, and acknowledge"
+    shown = world.runs(mute)
+    assert shown, "what they run counts as theirs until proof"
+    world.run(began + OUT_S + 12.0)
+    assert not world.runs(mute) and not any(name in mute for name in world.on.values())
+    homes = [sim.node.home.jobs for sim in world.nodes.values() if sim.node is not None]
+    assert not [job for jobs in homes for job in jobs.values() if job.state is JobState.ABORTED and job.on_machines]
+    aborted = [job for job, at in world.cancelled_at.items() if at < float("inf")]
+    assert aborted and all(world.said[job] == "aborted" for job in aborted)
+
+
+def test_a_mute_machine_that_speaks_again_gets_work():
+    world = Mute(8, jobs=20)
+    world.run(50.0)
+    mute = [worker.name for worker in world.workers()]
+    for name in mute:
+        world.machines[name].mute_until = world.t + 40.0
+    world.run(60.0)
+    world.end(world.leader(), 2.0)
+    world.run(85.0)
+    assert not world.runs(mute) and not any(name in mute for name in world.on.values())
+    world.run(115.0)
+    assert any(name in mute for name in world.on.values())
+
+
+@pytest.mark.parametrize("seed, nodes", ((51, 5), (52, 3), (53, 5)))
+def test_rules_hold_while_machines_are_mute_and_old_reports_meet_new_leaders(seed, nodes):
+    """Leaders end every 4 to 20 s; some for long, so that machines change hands there and back."""
+    world = Mute(seed, jobs=24, nodes=nodes)
+    world.kept_share = 0.5
+    at = 20.0
+    while at < 120.0:
+        world.after(at, lambda: world.mute(world.rng.uniform(0.2, 0.8), world.rng.uniform(3.0, 40.0)))
+        world.after(at + 2.0, world.end_leaders, 1, 0.0)
+        world.after(at + 3.0, lambda: world.end(world.rng.choice(list(world.nodes.values())), 11.0))
+        world.after(at + 1.0, world.cancel_any)
+        at += world.rng.uniform(4.0, 20.0)
+    world.run(125.0)
+    world.kept_share = 0.0
+    world.run(260.0)
+    world.remembered()
+    assert world.delivered > 50 and world.starts > 20
+    assert not world.inherited()
