--- /dev/null
+++ b/tests/test_meetings_hosts.py
@@ -0,0 +1,492 @@
+"""Two troubles at once, on the machines' side: quick boots, mute machines, old reports that meet a new leader."""
+
+from collections import Counter
+
+import msgspec
+import pytest
+from test_meetings_machines import OUT_S, RUNNING, Meetings, Told
+from test_meetings_store import LEASE_S, SETTLED_S, Alone, machine_of
+from world import Broken, SimWorker, World
+
+from alderbridge import constants as c
+from alderbridge import mesh as m
+from alderbridge.jobs import JobState
+from alderbridge.machines import MachineState
+from alderbridge.store import MACHINES, VIEW
+from alderbridge.view import View
+from alderbridge.wire import Beat, ReportedTask
+
+RUNNING_1 = ReportedTask("wk-000001/0", 70, "running")
+
+# -- machines that boot at once ---------------------------------------------------
+
+
+
+@pytest.mark.parametrize("how", ("followed", "read anew"))
+def test_a_record_that_is_shown_after_the_answer_to_its_drop_is_no_leave_to_run(how):
+    """Its put is answered as the machine lapses, its drop at once; then the copy of the store shows the put, only that.
+
+    A report came before the copy had caught up, and the machine was taken for recorded: what ran there, no later view
+    waited for.
+    """
+    alone, name = Alone(), "n-000001"
+    alone.beat(name, 1)
+    alone.go(LEASE_S + 0.5)  # writes lag, and the machine is silent
+    put = alone.batch()
+    stamp, since = alone.carry_out(put).epoch, alone.node.replica.epoch
+    rows, changes = alone.store.rows(), alone.store.since(since)  # what the store answers a reading here
+    alone.t += 1.0
+    alone.node.round(alone.t)
+    machine = alone.node.part.machines[name]
+    assert machine.state is MachineState.LAPSED
+    alone.node.batch_done(put, stamp, alone.t)
+    alone.write()
+    assert MACHINES + name not in alone.store.data
+    if how == "followed":
+        alone.node.apply(changes, alone.t, alone.t)
+        alone.node.replica.epoch = stamp
+    else:
+        alone.node.load(rows, [], stamp, alone.t, alone.t)
+    assert alone.beat(name, 1, tenure=2) is machine and machine.state is MachineState.UP
+    assert not machine.recorded and alone.node.part.candidate(machine, alone.t) is None
+    alone.follow()
+    alone.write()
+    assert machine.recorded and MACHINES + name in alone.store.data, "put anew"
+
+
+@pytest.mark.parametrize("carried_out", ("before the view", "after the view", "before it, unanswered"))
+def test_what_may_run_on_a_new_machine_is_waited_for_by_the_next_view(carried_out):
+    """The put of its record is on its way, a task is granted, and the leader that owns the machine ends."""
+    alone = Alone("host-1")
+    other, name = alone.other("host-1"), machine_of("host-0", "host-0", "host-1")
+    alone.job()
+    machine = alone.beat(name, 1)
+    put = alone.batch()
+    assert MACHINES + name in put.puts
+    alone.node.part.on_grant("host-0", m.Grant(alone.node.part.reserve(machine, "wk-000001", 1), "wk-000001", name,
+                                               [(0, 70)]), alone.t)
+    assert not alone.node.part.orders(machine), "not before the store holds its record"
+    if carried_out == "before the view":
+        alone.node.batch_done(put, alone.carry_out(put).epoch, alone.t)
+        assert [order["verb"] for order in alone.node.part.orders(machine)] == ["run"]
+    elif carried_out == "before it, unanswered":
+        assert not alone.carry_out(put).failed
+        alone.node.batch_failed(put, alone.t)
+    alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.permits["host-1"]})})
+    if carried_out == "after the view":
+        assert VIEW in alone.carry_out(put).failed
+        assert not alone.node.part.orders(machine), "nor ever, though it acts under the older view for a while"
+    other.follow()
+    waits = carried_out != "after the view"
+    assert (name in other.node.part.machines) is waits and (name in other.node.home.barrier) is waits
+    job = other.node.home.jobs["wk-000001"]
+    assert job.unknown == ({0, 1, 2} if waits else set())
+    if waits:
+        other.beat(name, 2, [RUNNING_1])
+        assert not job.unknown and list(job.runs) == [0]
+
+
+def test_a_machine_whose_rental_was_answered_to_nobody_is_known_before_the_list_shows_it_and_gets_work():
+    """The requester ends between rental and answer; machines are up within a second; the list is behind for long."""
+    world = QuickBoots(2, jobs=14)
+    world.ends_until = 0.0
+    world.listing = lambda: [host for host in World.listing(world) if world.t > 60.0]
+    world.run(20.0)
+    kind = next(kind for kind, _ in world.kinds.values())
+    leader, names = world.leader(), world.rent(kind, 3)
+    world.end(leader, 40.0)
+    world.run(40.0)
+    leads = world.leader()
+    assert leads is not leader
+    machines = world.known()
+    for name in names:
+        assert machines[name].state is MachineState.UP and machines[name].recorded
+        assert leads.node.leader.rentals[name].state.value == "up"
+    world.run(130.0)
+    assert all(name not in world.kinds or world.ran[name] for name in names), "used, or returned"
+    assert any(world.ran[name] for name in names)
+
+
+class QuickWorker(SimWorker):
+    def carry_out(self, order):
+        """The world's own account: whoever is told to run something is in the store."""
+        if order["verb"] == "run" and MACHINES + self.name not in self.world.store.data:
+            raise Broken(f"unrecorded: {order['part']} on {self.name} at {self.world.t:.2f}")
+        self.world.ran[self.name] += order["verb"] == "run"
+        super().carry_out(order)
+
+
+class QuickNode(World.process):
+    """Its rentals are carried out at once, their answers come late or, if it has ended, to nobody."""
+
+    def lead(self):
+        node, world, rng, life = self.node, self.world, self.world.rng, self.life
+        if not node.membership.leads(world.t):
+            return
+        node.leader.on_listing(world.listing(), world.t)
+        decision = node.leader.decide(world.t)
+        node.drain(decision.drain, world.t)
+        for kind, count in decision.rent:
+            names = world.rent(kind, count)
+
+            def told(kind=kind, names=names):
+                if life == self.life:
+                    node.leader.on_rented(kind, names, world.t)
+
+            world.after(rng.uniform(0.2, 4.0), told)
+            world.rented += len(names)
+        if decision.give_back:
+            world.remove(decision.give_back)
+            if rng.random() < 0.7:
+                node.returned(decision.give_back, world.t)
+        if decision.rent and world.t < world.ends_until and rng.random() < 0.8:
+            world.ended_leaders += 1
+            world.after(rng.uniform(0.0, 2.5), world.end_if_up, self, life)
+
+
+class QuickBoots(Meetings):
+    """All machines are up within two seconds, some of them are gone again within seconds; writes lag, leaders end."""
+
+    process = QuickNode
+    ends_until = 110.0
+    rented = ended_leaders = 0
+
+    def __init__(self, *args, **more):
+        self.ran = Counter()
+        super().__init__(*args, **more)
+
+    def end_if_up(self, sim, life):
+        if sim.life == life:
+            self.end(sim, self.rng.choice([0.2, 2.0, 12.0]))
+
+    def rent(self, kind, count):
+        names = super().rent(kind, count)
+        for name in names:
+            self.after(self.rng.uniform(0.2, 2.0), self.boot, name, kind)  # the slow boot of the world finds it up
+        return names
+
+    def boot(self, name, kind):
+        if name not in self.kinds or self.machines[name] is not None:
+            return
+        worker = self.machines[name] = QuickWorker(self, name, kind)
+        short = self.rng.random() if self.t < self.ends_until else 1.0
+        at = self.rng.uniform(0.3, 5.0)
+        if short < 0.15:
+            self.after(at, worker.die)
+        elif short < 0.3:
+            worker.recall_at = self.t + at
+        elif short < 0.5:  # around its lease, so that it lapses or nearly does
+            self.after(at, setattr, worker, "hangs_until", self.t + at + self.rng.uniform(10.0, 30.0))
+
+    def known(self):
+        """All machines, as their parts know them."""
+        return {name: machine for sim in self.nodes.values() if sim.node is not None
+                for name, machine in sim.node.part.machines.items()}
+
+    def make_job(self, number):
+        spec = super().make_job(number)
+        return msgspec.structs.replace(spec, estimate_s=min(spec.estimate_s, 40.0))
+
+    def late_writes(self, from_s, for_s):
+        self.after(from_s, self.bring, "late_writes", next(iter(self.nodes.values())), for_s)
+        self.after(from_s, self.bring, "slow_store", next(iter(self.nodes.values())), for_s)
+
+
+@pytest.mark.parametrize("seed, nodes", ((44, 3), (33, 5)))
+def test_machines_that_boot_at_once_run_nothing_unrecorded_and_are_used_or_returned(seed, nodes):
+    world = QuickBoots(seed, jobs=24, nodes=nodes, machines=200)
+    world.late_writes(3.0, 50.0)
+    world.late_writes(65.0, 40.0)
+    world.run(210.0)
+    world.remembered()
+    assert world.ended_leaders >= 2 and world.starts > 20
+    known = world.known()
+    for name, (_, since) in world.kinds.items():
+        worker = world.machines[name]
+        if world.t - since > c.BOOT_PATIENCE * 10.0 + c.LOST_S + OUT_S + 20.0:  # rented that long ago
+            assert worker is not None and worker.alive, f"{name} is gone, or never came, and is paid for"
+            assert known[name].recorded, f"{name} is up, and nobody's"
+    assert not [job for job in world.accepted if job not in world.said and not world.specs[job].service
+                and world.specs[job].team == "free" and job not in world.cancelled_at]
+
+
+# -- mute machines, and old reports for a new leader ------------------------------------
+OLD = [[RUNNING], [], [ReportedTask("wk-1/0", 60, "ended", "done")], [ReportedTask("wk-1/0", 60, "ended", "halted")],
+       [ReportedTask("wk-1/0", 60, "ended", "error")]]
+
+
+@pytest.mark.parametrize("shows", OLD)
+def test_old_reports_tell_nothing_to_a_controller_that_was_owner_and_becomes_it_again(shows):
+    """Owner under 5 and 7, another under 6; copies and reports held back, first that of the highest mandate."""
+    one = Told()
+    one.beat(1.0, 50)
+    one.part.enter(6, ["host-0", "host-1"], {}, 2.0, True, True)
+    assert "n-1" not in one.part.machines
+    one.enter(7, 10.0, carry=True)
+    one.told_home()
+    for mandate, counter, tenure in ((6, 60, 2), (6, 61, 2), (5, 51, 1), (5, 99, 1)):
+        one.beat(10.5, counter, mandate=mandate, tenure=tenure, tasks=shows)
+        assert not one.machine.acked and not one.machine.tasks and not one.told_home() and not one.orders()
+    assert one.machine.news == (2, 61), "the highest mandate came first: all others are older"
+    one.beat(10.6, 58, mandate=6, tenure=2, tasks=shows, asked=True)
+    one.beat(10.6, 61, mandate=7, tenure=2, tasks=shows, asked=True)
+    assert not one.machine.acked, "an acknowledgement is newer than all reports of an older mandate"
+    one.beat(11.0, 62, mandate=7, tenure=2, tasks=[RUNNING], asked=True)
+    assert one.machine.acked and one.told_home() == [([0], [])]
+    for mandate, counter in ((6, 60), (6, 61), (7, 62)):
+        assert one.beat(12.0, counter, mandate=mandate, tenure=2, tasks=shows) is None
+    assert not one.told_home() and one.machine.heard_at == 11.0
+
+
+@pytest.mark.parametrize("shows", OLD)
+def test_a_report_held_back_for_the_next_view_changes_nothing_of_what_was_carried_over(shows):
+    """Newer than all that was heard, and of the view before: it shows what was ordered, what has ended, or not."""
+    one = Told()
+    one.beat(1.0, 1, tasks=[RUNNING])
+    one.grant(3, 73)
+    assert one.orders() == [("run", "wk-1/3", 73)]
+    one.enter(6, 2.0, settle=False, carry=True)
+    one.told_home()
+    one.beat(2.1, 2, mandate=5, tasks=shows)
+    assert not one.told_home()
+    one.part.settle(3.0)
+    assert one.told_home() == [([0], [("wk-1", 3, 73)])]
+    assert one.beat(3.1, 2, mandate=5, tasks=shows) is None and one.beat(3.2, 1, tasks=[RUNNING]) is None
+    assert not one.told_home()
+    one.beat(4.0, 3, mandate=6, tasks=[RUNNING])
+    assert one.told_home() == [([0], [])], "this one is proof that 73 is not there"
+
+
+class MuteWorker(SimWorker):
+    """For a while it reaches no controller; commands reach it, and are answered."""
+
+    mute_until = 0.0
+
+    def send_beat(self):
+        if not self.alive or self.world.t >= self.mute_until or self.world.t < self.hangs_until:
+            return super().send_beat()
+        self.tick()
+        self.counter += 1  # of a report that nobody hears
+        self.in_flight += 1
+        self.next_node()
+
+    def command(self, mandate, tenure, reply):
+        self.tick()
+        if tenure != self.tenure and self.alive:  # 409, and asked again as ``Controller.ask_worker`` does
+            self.world.after(self.way(), super().command, mandate, self.tenure, reply)
+        else:
+            super().command(mandate, tenure, reply)
+
+    def carry_out(self, order):
+        if order["verb"] == "run" and self.world.t < self.mute_until:
+            raise Broken(f"run by a mute machine: {order['part']} on {self.name}")
+        super().carry_out(order)
+
+
+class Keeping(World.process):
+    """Some reports are kept for the next leader, copies or the report itself; see ``Mute.deliver``."""
+
+    def beat(self, raw, reply, again=False):
+        world = self.world
+        if not again and world.rng.random() < world.kept_share:
+            world.kept.append(raw)
+            if world.rng.random() < 0.3:
+                return  # held back: nobody has heard it yet
+        super().beat(raw, reply)
+
+
+class Mute(Meetings):
+    process = Keeping
+    kept_share = 0.0
+
+    def __init__(self, *args, **more):
+        self.kept, self.view_seen, self.delivered = [], 0, 0
+        super().__init__(*args, **more)
+        self.after(0.0, self.deliver)
+
+    def boot(self, name, kind):
+        if name in self.kinds:
+            self.machines[name] = MuteWorker(self, name, kind)
+
+    def deliver(self):
+        """As a new view begins, or when it has acted for some seconds, all controllers get what was kept."""
+        stamp = self.store.data[VIEW][1] if VIEW in self.store.data else 0
+        if stamp != self.view_seen:
+            self.view_seen, kept, self.kept = stamp, self.kept, []
+            for raw in kept:
+                at = self.rng.choice([0.0, 0.0, self.rng.uniform(0.1, 8.0), self.rng.uniform(8.0, 2 * LEASE_S)])
+                for sim in self.nodes.values():
+                    self.after(at + self.rng.uniform(0.0, 0.3), sim.beat, raw, lambda status, body: None, True)
+            self.delivered += len(kept)
+        self.after(0.05, self.deliver)
+
+    def mute(self, share, for_s):
+        for worker in self.rng.sample(self.workers(), int(len(self.workers()) * share)):
+            worker.mute_until = self.t + for_s
+
+    def runs(self, machines):
+        """Tasks that homes have on these machines."""
+        return [(name, index, run.state) for sim in self.nodes.values() if sim.node is not None
+                for name, job in sim.node.home.jobs.items()
+                for index, run in job.runs.items() if run.machine in machines]
+
+
+def test_five_controllers_get_an_old_report_as_a_new_leader_begins_and_none_takes_it_for_news():
+    """Reports from before, some of which nobody has heard, at all five: at once, and when the new leader has acted."""
+    world = Mute(9, jobs=24, nodes=5)
+    world.run(40.0)
+    world.kept_share = 1.0
+    world.run(45.0)
+    world.kept_share, kept, world.kept = 0.0, world.kept, []
+    leader = world.leader()
+    mandate = leader.node.membership.mandate
+    world.end(leader, 30.0)
+
+    def newer():
+        return [sim.node for sim in world.nodes.values() if sim.node and sim.node.membership.mandate > mandate]
+
+    def known(node):
+        """What a part knows of its machines, and a home of its tasks."""
+        return ({name: (one.acked, one.state, dict(one.tasks), dict(one.ordered), dict(one.pending))
+                 for name, one in node.part.machines.items()},
+                {name: (dict(job.runs), set(job.unknown), job.done.count) for name, job in node.home.jobs.items()})
+
+    while not newer():
+        world.run(world.t + 0.02)
+    heard = set()
+    for pause in (0.0, 0.2, 3.0, 9.0):
+        world.run(world.t + pause)
+        for raw in kept:
+            for node in newer():
+                machines, jobs = known(node)
+                world.nodes[node.me].beat(raw, lambda status, body: None, True)
+                after, jobs_after = known(node)
+                assert jobs_after == jobs and {name: after[name] for name in machines} == machines
+                heard.add(node.me)
+    assert len(kept) > 5 and len(heard) == 4
+    world.run(world.t + OUT_S)
+    assert not world.inherited()
+
+
+@pytest.mark.parametrize("lost", (True, False))
+def test_a_mute_machine_lapses_by_the_clock_whatever_it_answers_to_commands(lost):
+    """Three views within a lease: each asks it. Its last one may have no answer, or one of its new session."""
+    one = Told()
+    one.beat(1.0, 1, tasks=[RUNNING], asked=True)
+    assert one.machine.acked and one.told_home() == [([0], [])]
+    one.enter(6, 8.0)
+    one.beat(9.0, 3, mandate=6, tasks=[RUNNING], asked=True)
+    assert one.told_home() == [([0], [])]
+    assert one.beat(10.0, 4, mandate=6, asked=True) is None and one.machine.heard_at == 9.0
+    one.enter(7, 16.0)
+    if not lost:
+        one.beat(19.0, 1, mandate=7, tenure=2, asked=True)
+        assert one.machine.state is MachineState.UP and one.told_home() == [([], [])], "its lease is out, by itself"
+        return
+    one.part.check_leases(9.0 + OUT_S - 0.1)
+    assert one.machine.state is MachineState.EXPECTED and not one.told_home()
+    one.part.check_leases(9.0 + OUT_S + 0.1)
+    assert one.machine.state is MachineState.LAPSED and one.told_home() == [([], [])], "16 s is no beginning"
+    for tenure, counter in ((1, 5), (2, 1)):
+        one.beat(30.0, counter, mandate=7, tenure=tenure, tasks=[RUNNING] if tenure == 1 else [], asked=True)
+        assert one.machine.state is MachineState.LAPSED and not one.told_home() and not one.orders()
+    one.beat(40.0, 2, mandate=7, tenure=2)
+    assert one.machine.state is MachineState.UP and one.part.candidate(one.machine, 40.0) is None, "put anew first"
+    one.part.on_recorded("n-1")
+    assert one.part.candidate(one.machine, 40.0) is not None
+
+
+def test_a_machine_that_is_heard_by_command_alone_is_given_no_task():
+    """It can't be told to run any: what is kept for it would wait until it lapses."""
+    alone, name = Alone(), "n-000001"
+    alone.up(name)
+    alone.view("host-0")
+    alone.t += SETTLED_S
+    alone.follow()
+    job = alone.job()
+    alone.node.round(alone.t)
+    mandate = alone.node.membership.mandate
+    machine = alone.node.part.machines[name]
+    alone.node.asked(Beat(name, "x", "small", 1, 7, mandate, "a"), alone.t)
+    assert machine.acked and machine.recorded and job.waiting and not machine.reserved and not machine.pending
+    alone.beat(name, 8)
+    assert machine.pending, "its next report brings it"
+
+
+class Many(Mute):
+    """More than a hundred machines, each with a long task."""
+
+    def __init__(self, seed, machines):
+        super().__init__(seed, jobs=0, machines=machines)
+        for number in range(10):
+            self.after(2.0, self.submit, self.make_job(number))
+
+    def make_job(self, number):
+        return msgspec.structs.replace(super().make_job(number), kind="sweep", team="free", tasks=14, cpus=4.0,
+                                       types=["small"], zone=None, spot=True, estimate_s=self.rng.uniform(200.0, 300.0))
+
+
+def test_nothing_waits_for_a_hundred_mute_machines_when_the_leader_ends():
+    """All their tasks, inherited or not, are free once their leases are out; jobs on them are cancelled meanwhile."""
+    world = Many(6, machines=125)
+    world.run(45.0)
+    leader, mandate = world.leader(), world.leader().node.membership.mandate
+    busy = sorted(set(world.on.values()))
+    mute = {name for name in world.rng.sample(busy, 100)}
+    for name in mute:
+        world.machines[name].mute_until = world.t + 240.0
+    world.run(world.t + 3.0)
+    world.end(leader, 30.0)
+    for job in sorted({part.split("/")[0] for part, name in world.on.items() if name in mute})[:4]:
+        world.withdraw(job)
+    while all(sim.node is None or sim.node.membership.mandate == mandate for sim in world.nodes.values()):
+        world.run(world.t + 0.25)
+    began = world.t
+    world.run(began + 4.0)
+    known = {name: machine for sim in world.nodes.values() if sim.node is not None
+             for name, machine in sim.node.part.machines.items()}
+    acked = [name for name in mute if known[name].acked]
+    assert len(acked) > 70, "they are asked, and acknowledge; some of the commands are late"
+    assert world.runs(set(acked)), "what they run counts as theirs until proof"
+    world.run(began + OUT_S + 4.0)
+    assert not world.inherited()
+    world.run(began + 2 * OUT_S + 4.0)  # an acknowledgement that came late, and the lease from there
+    assert not world.runs(mute) and not any(name in mute for name in world.on.values())
+    homes = [sim.node.home.jobs for sim in world.nodes.values() if sim.node is not None]
+    assert not [job for jobs in homes for job in jobs.values() if job.state is JobState.ABORTED and job.on_machines]
+    aborted = [job for job, at in world.cancelled_at.items() if at < float("inf")]
+    assert aborted and all(world.said[job] == "aborted" for job in aborted)
+
+
+def test_a_mute_machine_that_speaks_again_gets_work():
+    world = Mute(8, jobs=20)
+    world.run(50.0)
+    mute = [worker.name for worker in world.workers()]
+    for name in mute:
+        world.machines[name].mute_until = world.t + 40.0
+    world.run(60.0)
+    world.end(world.leader(), 2.0)
+    world.run(85.0)
+    assert not world.runs(mute) and not any(name in mute for name in world.on.values())
+    world.run(115.0)
+    assert any(name in mute for name in world.on.values())
+
+
+@pytest.mark.parametrize("seed, nodes", ((52, 3), (53, 5)))
+def test_rules_hold_while_machines_are_mute_and_old_reports_meet_new_leaders(seed, nodes):
+    """Leaders end every 4 to 20 s; some for long, so that machines change hands there and back."""
+    world = Mute(seed, jobs=24, nodes=nodes)
+    world.kept_share = 0.5
+    at = 20.0
+    while at < 120.0:
+        world.after(at, lambda: world.mute(world.rng.uniform(0.2, 0.8), world.rng.uniform(3.0, 40.0)))
+        world.after(at + 2.0, world.end_leaders, 1, 0.0)
+        world.after(at + 3.0, lambda: world.end(world.rng.choice(list(world.nodes.values())), 11.0))
+        world.after(at + 1.0, world.cancel_any)
+        at += world.rng.uniform(4.0, 20.0)
+    world.run(125.0)
+    world.kept_share = 0.0
+    world.run(220.0)
+    world.remembered()
+    assert world.delivered > 40 and world.starts > 20
+    assert not world.inherited()
