Tests: hold, freshness and contact taken out singly; views carried out late

Each term of Membership.may_act has a meeting in which it alone stops a replaced member; left_out with it taken out. A removal and a waiving view carried out late harm nobody; seen with giving up not final, and without the stamp of the older view.

--- /dev/null
+++ b/tests/test_meetings_terms.py
@@ -0,0 +1,320 @@
+"""What lets a member act, taken out singly: hold, freshness, contact; and what a late view or a jump in time meets.
+
+``Membership.may_act`` rests on three terms. Each has a meeting here in which it alone stops a member that others have
+replaced: the other two still hold then. With that one taken out a rule breaks, with all in place none does.
+"""
+
+import functools
+
+import msgspec
+import pytest
+from test_contact import Tied, Ties
+from world import Broken
+
+from alderbridge import constants as c
+from alderbridge import mesh as m
+from alderbridge.contact import Contact, Touch
+from alderbridge.node import Node
+from alderbridge.store import VIEW
+from alderbridge.view import Hold, Membership
+
+
+class Dark(Tied):
+    """Its watch of the store may hang while its hold is renewed, and its renewals be lost while it watches."""
+
+    watch_hangs_until = renewals_lost_until = 0.0
+    step = ""
+
+    def call(self, then, fail, method, *args, too_large=None):
+        world = self.world
+        if self.step == "follow" and world.t < self.watch_hangs_until:
+            world.after(self.watch_hangs_until - world.t, super().call, then, fail, method, *args)
+        elif self.step == "hold" and world.t < self.renewals_lost_until:
+            world.after(2.0, fail)
+        else:
+            super().call(then, fail, method, *args, too_large=too_large)
+
+    def follow(self):
+        self.step = "follow"
+        super().follow()
+        self.step = ""
+
+    def hold(self):
+        self.step = "hold"
+        super().hold()
+        self.step = ""
+
+
+class Terms(Ties):
+    process = Dark
+
+    def __init__(self, seed, nodes):
+        super().__init__(seed, nodes=nodes, jobs=0)
+        for number in range(12):
+            spec = msgspec.structs.replace(self.make_job(number), kind="sweep", team="free", cpus=1.0, tasks=2,
+                                           estimate_s=1000.0, types=None, zone=None, one_zone=False, spread=False)
+            self.after(self.rng.uniform(1.0, 10.0), self.submit, spec)
+
+    def acts(self, label):
+        return self.nodes[label].node.may_act()
+
+    def follower(self):
+        """The highest label that does not lead."""
+        return max(set(self.labels) - {self.view.leader})
+
+    def until(self, true, at_most):
+        """Runs until that is so."""
+        end = self.t + at_most
+        while not true() and self.t < end:
+            self.run(self.t + 0.05)
+        assert true()
+
+
+def hold_ends(seed):
+    """Its renewals are lost, its watch tells it all until just before the store ends its hold, and then nothing.
+
+    Its peers hear it all the while, and it was fresh a second ago.
+    """
+    world = Terms(seed, 5)
+    world.run(50.0)
+    label = world.follower()
+    sim = world.nodes[label]
+    sim.renewals_lost_until = 200.0
+    permit = sim.node.membership.hold.permit
+    world.until(lambda: world.store.holds[permit] - world.t < 1.0, 30.0)
+    sim.watch_hangs_until = world.t + 60.0
+    world.until(lambda: label not in world.view.members, 10.0)
+    membership = sim.node.membership
+    assert world.t < min(membership.fresh_until, membership.contact.until), "the other two terms would let it act"
+    return world, 12.0
+
+
+def watch_hangs(seed):
+    """Of three one was away; when it is back, one of the two others does not hear of the view with it.
+
+    Its hold is renewed, and the view of two that it knows asks for no contact: it goes on as home of the third's jobs.
+    """
+    world = Terms(seed, 3)
+    world.run(40.0)
+    away = max(world.labels)
+    world.nodes[away].crash()
+    world.until(lambda: away not in world.view.members, 40.0)
+    assert world.view.contact_s == 0.0
+    world.run(world.t + 2.0)
+    label = min(set(world.view.members) - {world.view.leader})
+    sim = world.nodes[label]
+    sim.watch_hangs_until = world.t + 120.0
+    world.restart(world.nodes[away])
+    world.until(lambda: away in world.view.members, 15.0)
+    world.until(lambda: sim.node.membership.fresh_until < world.t, 25.0)
+    membership = sim.node.membership
+    assert world.t < min(membership.hold.valid_until, membership.contact.until), "the other two terms let it act"
+    return world, 40.0
+
+
+def contact_ends(seed):
+    """It is cut off from its peers, and its watch hangs from just before they remove it; its hold is renewed."""
+    world = Terms(seed, 5)
+    world.run(50.0)
+    label = world.follower()
+    sim = world.nodes[label]
+    world.cut([label], 60.0)
+    world.run(world.t + c.CONTACT_TTL_S - 2.0)
+    sim.watch_hangs_until = world.t + 60.0
+    world.until(lambda: label not in world.view.members, 10.0)
+    membership = sim.node.membership
+    assert world.t + 5.0 < min(membership.fresh_until, membership.hold.valid_until), "the other two let it act"
+    return world, 10.0
+
+
+def without_hold(monkeypatch):
+    renewed = Hold.renewed
+
+    def stays(self, *args):
+        renewed(self, *args)
+        self.valid_until = float("inf")
+    monkeypatch.setattr(Hold, "renewed", stays)
+
+
+def without_freshness(monkeypatch):
+    followed = Membership.followed
+
+    def stays(self, sent_at):
+        followed(self, sent_at)
+        self.fresh_until = float("inf")
+    monkeypatch.setattr(Membership, "followed", stays)
+
+
+def without_contact(monkeypatch):
+    monkeypatch.setattr(Contact, "_reckon", lambda self: setattr(self, "until", float("inf")))
+
+
+TERMS = {hold_ends: without_hold, watch_hangs: without_freshness, contact_ends: without_contact}
+
+
+@pytest.mark.parametrize("meeting", TERMS)
+def test_hold_freshness_and_contact_each_stop_a_member_that_the_others_would_let_act(meeting):
+    world, for_s = meeting(31000)
+    world.run(world.t + for_s)
+
+
+@pytest.mark.parametrize("meeting", TERMS)
+def test_a_term_taken_out_singly_is_missed_in_its_meeting(monkeypatch, meeting):
+    TERMS[meeting](monkeypatch)
+    with pytest.raises(Broken, match="left_out"):
+        world, for_s = meeting(31000)
+        world.run(world.t + for_s)
+
+
+# -- views carried out late ---------------------------------------------------------
+
+class LateViews(Tied):
+    """From 30 s on its changes of view have no answer, and are carried out seconds later if what they assert holds."""
+
+    def call(self, then, fail, method, *args, too_large=None):
+        world = self.world
+        if method != world.store.commit or VIEW not in args[1] or world.t < 30.0:
+            super().call(then, fail, method, *args, too_large=too_large)
+            return
+
+        def late():
+            before = world.view
+            if world.t >= world.store.down_until and not world.store.commit(*args).failed:
+                world.late.append((before, args[1][VIEW]))
+
+        world.after(world.rng.uniform(*world.late_by), late)
+        super().call(lambda _: None, lambda: None, lambda: None)
+        world.after(2.0, fail)
+
+
+class Late(Ties):
+    process = LateViews
+
+    late_by = (2.0, 12.0)  # s
+
+    def __init__(self, seed, apart=2, **more):
+        self.late = []  # views before and after one that was carried out late
+        super().__init__(seed, **more)
+        for number in range(apart):  # all lose each other: contact is waived
+            self.after(self.rng.uniform(40.0, 70.0) + 60.0 * number, self.apart)
+
+    def apart(self):
+        for label in self.labels:
+            self.cut([label], self.rng.uniform(4.0, 20.0), self.rng.random() < 0.5)
+
+    def waived(self):
+        return sum(before.contact_s > after.contact_s == 0.0 for before, after in self.late)
+
+
+def late(seed):
+    world = Late(seed, nodes=3 + 2 * (seed % 2), mishaps=4)
+    world.run(150.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", (32000, 32003, 32004))
+def test_a_removal_or_a_view_that_waives_contact_harms_nobody_however_late_it_is_carried_out(seed):
+    world = late(seed)
+    assert world.waived() and world.early and len(world.late) > 2
+
+
+def removed_late(seed):
+    """One is given up, heard again a second later, and removed seconds after that; it can't learn of that."""
+    world = Late(seed, apart=0, nodes=5, jobs=0)
+    world.late_by = (3.0, 7.0)
+    world.run(50.0)
+    label = max(set(world.labels) - {world.view.leader})
+    world.nodes[label].cut_store_until = world.t + 40.0
+    world.cut([label], c.CONTACT_TTL_S + 1.0)
+    world.run(50.0 + c.CONTACT_TTL_S + 1.0)
+    assert label in world.view.members and label in world.nodes[world.view.leader].node.membership.contact.gone()
+    world.run(50.0 + c.CONTACT_TTL_S + 8.0)
+    membership = world.nodes[label].node.membership
+    assert label not in world.view.members and world.late
+    assert world.t < min(membership.fresh_until, membership.hold.valid_until)
+
+
+def test_who_was_given_up_acts_no_more_though_it_is_heard_again_before_it_is_removed(monkeypatch):
+    for seed in (32100, 32101):
+        removed_late(seed)
+    heard_again(monkeypatch)
+    with pytest.raises(Broken, match="left_out"):
+        for seed in (32100, 32101):
+            removed_late(seed)
+
+
+def heard_again(monkeypatch):
+    """Giving a member up is not final under its mandate."""
+    real = Contact.hear
+
+    def hear(self, label, acknowledged, now):
+        self.peers[label].touch = Touch.HEARD
+        real(self, label, acknowledged, now)
+
+    monkeypatch.setattr(Contact, "takes", lambda self, label: True)
+    monkeypatch.setattr(Contact, "hear", hear)
+
+
+def older_view_not_asserted(monkeypatch):
+    """A late view takes the place of a newer one."""
+    real = Node.next_view
+
+    def next_view(self, now):
+        change = real(self, now)
+        if change is not None:
+            del change[1][VIEW]
+        return change
+
+    monkeypatch.setattr(Node, "next_view", next_view)
+
+
+def test_a_late_view_that_takes_the_place_of_a_newer_one_is_seen(monkeypatch):
+    older_view_not_asserted(monkeypatch)
+    with pytest.raises(Broken, match="left_out"):
+        for seed in range(32000, 32010):
+            late(seed)
+
+
+# -- time that jumps ------------------------------------------------------------------
+
+class Jumping(Tied):
+    """It may stand still for seconds at any line: a call, frames or an answer decided before are sent after it."""
+
+    def jump(self, share):
+        world = self.world
+        if world.t > 25.0 and world.t >= self.frozen_until and world.rng.random() < share:
+            self.frozen_until = world.t + world.rng.choice([world.rng.uniform(0.5, 4.0), world.rng.uniform(4.0, 25.0)])
+            world.jumps += 1
+
+    def call(self, then, fail, method, *args, too_large=None):
+        self.jump(0.04 if method == self.world.store.commit else 0.002)
+        self.thawed(functools.partial(super().call, too_large=too_large), then, fail, method, *args)
+
+    def flush(self):
+        if self.node is not None and any(isinstance(frame.body, m.Grant) for _, frame in self.node.outgoing):
+            self.jump(0.1)
+        super().flush()
+
+    def beat(self, raw, reply):
+        def late(status, body):
+            if status == 200:
+                self.jump(0.01)
+            self.world.after(max(0.0, self.frozen_until - self.world.t), reply, status, body)
+
+        super().beat(raw, late)
+
+
+class Jumps(Ties):
+    process = Jumping
+
+    def __init__(self, seed, **more):
+        self.jumps = 0
+        super().__init__(seed, **more)
+        for number in range(6):
+            self.after(35.0 + 12.0 * number, self.cancel_any)
+
+
+def jumps(seed):
+    world = Jumps(seed, nodes=3 + 2 * (seed % 2), mishaps=3)
+    world.run(130.0)
+    return world
