--- a/tests/test_meetings_terms.py
+++ b/tests/test_meetings_terms.py
@@ -22,7 +22,7 @@
 class Dark(Tied):
     """Its watch of the store may hang while its hold is renewed, and its renewals be lost while it watches."""
 
-    watch_hangs_until = renewals_lost_until = 0.0
+    watch_hangs_until = renewals_lost_until = still_s = 0.0
     step = ""
 
     def call(self, then, fail, method, *args, too_large=None):
@@ -43,6 +43,9 @@
         self.step = "hold"
         super().hold()
         self.step = ""
+        if self.still_s:  # between the sending of both and their answers
+            self.follow()
+            self.frozen_until, self.still_s = self.world.t + self.still_s, 0.0
 
 
 class Terms(Ties):
@@ -318,3 +321,45 @@
     world = Jumps(seed, nodes=3 + 2 * (seed % 2), mishaps=3)
     world.run(130.0)
     return world
+
+
+@pytest.mark.parametrize("seed", (33001, 33012, 33013))
+def test_a_jump_in_time_between_a_decision_and_its_sending_breaks_no_rule(seed):
+    """Between the look at ``may_act`` and a transaction, a grant or a 200: of each what it rests on goes with it."""
+    assert jumps(seed).jumps > 5
+
+
+def still_between_question_and_answer(seed):
+    """Of three one is away, and no contact is asked for; one of the two stands still until it was replaced.
+
+    When it goes on, the answers of a good renewal and of the watch are there, sent 25 s ago.
+    """
+    world = Terms(seed, 3)
+    world.run(40.0)
+    away = max(world.labels)
+    world.nodes[away].crash()
+    world.until(lambda: away not in world.view.members, 40.0)
+    world.run(world.t + 2.0)
+    label = min(set(world.view.members) - {world.view.leader})
+    sim = world.nodes[label]
+    sim.still_s = 25.0
+    world.until(lambda: sim.still_s == 0.0, 5.0)
+    world.until(lambda: label not in world.view.members, 24.0)
+    world.run(sim.frozen_until + 1.0)
+
+
+def test_hold_and_replica_are_as_old_as_the_question_that_was_sent(monkeypatch):
+    """Counted from the answer, a process acts after its jump, though others have taken its place."""
+    still_between_question_and_answer(33100)
+    loop, renewed, followed = Dark.loop, Hold.renewed, Membership.followed
+    clock = []
+
+    def loop_with_clock(self, life, step, pause):
+        clock[:] = [self.world]
+        loop(self, life, step, pause)
+
+    monkeypatch.setattr(Dark, "loop", loop_with_clock)
+    monkeypatch.setattr(Hold, "renewed", lambda self, permit, sent_at, *more: renewed(self, permit, clock[0].t, *more))
+    monkeypatch.setattr(Membership, "followed", lambda self, sent_at: followed(self, clock[0].t))
+    with pytest.raises(Broken, match="left_out"):
+        still_between_question_and_answer(33100)
