--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -556,7 +556,7 @@
                 return later("the state service is out of reach")
             if row is None:
                 return await self.never(spec.id, f"waits_on: {need} was never accepted")
-            node.saw_job(need, _record.decode(row.data), row.stamp)
+            node.saw_end(need, _record.decode(row.data), row.stamp)
         return None
 
     async def never(self, job: str, why: str, refusal: int = 422) -> Answer:
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -798,10 +798,16 @@
         self.fresh = True
         return submission
 
-    def saw_job(self, name: str, record: Record, stamp: int) -> None:
-        """A record that was read from the store ahead of the changes that bring it."""
-        self.replica.saw_job(name, record, stamp)
-        self.follow_graph()
+    def saw_end(self, name: str, record: Record, stamp: int) -> None:
+        """A record that was read from the store ahead of the changes that bring it: an end is one under every view.
+
+        Of an active one nothing is taken. It may be written under a newer view than the next that arrives here; by
+        that one this member may be home to the label that accepted the job. It then told of it, and could have started
+        it, beside its home (docs/incidents/read-ahead.md).
+        """
+        if record.state is not JobState.ACTIVE and not self.known(name):
+            self.replica.saw_job(name, Record(record.state, done_at=record.done_at), stamp)
+            self.follow_graph()
 
     def needs_of(self, job: Job) -> list[str]:
         result = list(job.spec.needs or ())
--- a/tests/test_meetings_looks.py
+++ b/tests/test_meetings_looks.py
@@ -491,6 +491,39 @@
     curio.run(play)
 
 
+def test_a_job_read_ahead_of_the_views_is_no_affair_of_who_read_it(service):
+    """A member went, came back and accepted it, under a view that this one has yet to hear of, behind another."""
+    async def play():
+        await service.start()
+        back = LABELS[0]
+        reader = choose(back, LABELS[1:])  # home to its jobs while it was gone
+        service.lag.add(reader)
+        service.view(*LABELS[1:])
+        service.look(reader)  # what it is told of has the view without the member, and is on its way
+        service.come(back)
+        service.view(*LABELS)
+        await service.process(back)
+        service.load(back)
+        await service.rounds()
+        job, second = service.fresh(), service.fresh()
+        assert (await service.answer(back, "submit", job))[0] == 201
+        needs = await service.ask(reader, "submit", second, waits_on=[job])  # its record is read
+        await curio.sleep(0)
+        assert await service.answer(back, "withdraw", job) == (200, "aborted")
+        service.look(reader)
+        assert service.controls[reader].node.membership.view.members.keys() == {*LABELS[1:]}
+        assert service.controls[reader].node.may_act()
+        assert (await service.answer_now(reader, "poll", job))[1] in ("", "aborted")
+        assert job not in service.controls[reader].node.home.jobs, "it would start tasks that its home starts, too"
+        service.lag.clear()
+        for _ in range(5):
+            await service.rounds()
+        assert needs.terminated
+        assert await service.answer(reader, "poll", job) == (200, "aborted")
+
+    curio.run(play)
+
+
 # -- everything at once
 
 class Storm:
