--- a/tests/test_meetings_looks.py
+++ b/tests/test_meetings_looks.py
@@ -283,12 +283,12 @@
         await curio.sleep(0)
         return await task.join()
 
-    def finish(self, job: str) -> bool:
-        """The last task's report reaches its home, if there is one at work."""
+    def finish(self, job: str, ended: bool = False) -> bool:
+        """The last task's report reaches its home, if there is one at work; ``ended``: also where it is cancelled."""
         for control in self.controls.values():
             node = control.node
             one = node.home.jobs.get(job)
-            if one is not None and one.state is JobState.ACTIVE and node.membership.may_act(self.t):
+            if one is not None and (ended or one.state is JobState.ACTIVE) and node.membership.may_act(self.t):
                 self.run(one)
                 node.home.on_seen(node.me, m.Seen(MACHINE, "a", 1 << 40, [m.SeenTask(job, 0, 7, "ended", "done")], []),
                                   self.t)
@@ -524,6 +524,97 @@
     curio.run(play)
 
 
+# -- the end of the last task
+
+@pytest.mark.parametrize("first", ("result", "cancel"))
+@pytest.mark.parametrize("cut_in", range(5))
+def test_a_cancel_and_the_last_result_end_a_job_once(service, first, cut_in):
+    """One comes while the other is on its way into the store, at its home or at another node; polls and repeats too.
+
+    ``cut_in``: how far the write of the first has come: not begun, sent, carried out, answered, lost and carried out.
+    """
+    async def play():
+        await service.start()
+        job, home, other = service.fresh(), LABELS[1], LABELS[3]
+        assert (await service.answer(home, "submit", job))[0] == 201
+        await service.rounds()
+        service.run(service.controls[home].node.home.jobs[job])
+        gate = service.controls[home].store
+        gate.slow = True
+        asked = []
+
+        async def users(*what: str) -> None:
+            for one in what:
+                asked.extend([await service.ask(label, one, job) for label in (home, other)])
+
+        async def cancel() -> None:
+            asked.append(await service.ask(other if cut_in else home, "withdraw", job))
+            for _ in range(3):
+                await (service.rounds() if cut_in else curio.sleep(0))
+
+        async def turn() -> None:
+            await gate.turn.set()
+            for _ in range(3):
+                await curio.sleep(0)
+
+        if first == "result":
+            assert service.finish(job)
+        else:
+            await cancel()
+        if cut_in:
+            await turn()
+            writes, = [call for call in gate.waiting if call.lossy]
+            if cut_in > 1:
+                writes.asked, writes.answer = True, gate._carry_out(writes.action)
+            if cut_in == 3:
+                gate.waiting.remove(writes)
+                await writes.event.set()
+            elif cut_in == 4:
+                gate.waiting.remove(writes)
+                writes.answer = Unanswered("lost")
+                await writes.event.set()
+            await curio.sleep(0)
+        await users("poll", "submit")
+        if first == "result":
+            await cancel()
+        else:
+            service.finish(job, ended=True)
+        await users("poll", "withdraw", "submit")
+        rng = random.Random(cut_in)
+        for _ in range(150):
+            if gate.waiting:
+                await gate.step(SimpleNamespace(choice=rng.choice, random=lambda: 1.0))
+            await turn()
+            await service.rounds()
+        gate.slow = False
+        for label in LABELS:
+            assert (await service.answer(label, "poll", job))[1] in ("done", "aborted")
+        for task in asked:
+            assert task.terminated and (await task.join())[0] in (200, 503)
+        # What comes first at its home, which alone orders them, decides: nothing else can end it under this view.
+        assert service.ends == {job: "done" if first == "result" else "aborted"}
+
+    curio.run(play)
+
+
+def test_a_job_is_called_done_soon_after_its_last_task(service):
+    """At every node, within 3 s of the result's arrival at its home."""
+    async def play():
+        await service.start()
+        for home in LABELS:
+            job = service.fresh()
+            assert (await service.answer(home, "submit", job))[0] == 201
+            await service.rounds()
+            assert service.finish(job)
+            began = service.t
+            for label in LABELS:
+                while (await service.answer(label, "poll", job))[1] != "done":
+                    await service.rounds()
+            assert service.t - began < 3.0
+
+    curio.run(play)
+
+
 # -- everything at once
 
 class Storm:
