A submission that lacks a field is refused, also one whose default a record leaves out

Cause: accelerators, snapshot_every_s, snapshot_s, together, apart and standby have defaults in JobSpec, as records leave them out; a submission without one was accepted with the default. The protocol lets only fields be omitted that may be null. Change: parse_job asks for them (wire._Given); records are read as before.

--- a/alderbridge/wire.py
+++ b/alderbridge/wire.py
@@ -160,11 +160,23 @@
     permit: int
 
 
+class _Given(Struct):
+    """What has a value in each submission, though a record leaves it out where it has its default."""
+
+    gpus: msgspec.Raw = field(name="accelerators")
+    checkpoint_s: msgspec.Raw = field(name="snapshot_every_s")
+    save_s: msgspec.Raw = field(name="snapshot_s")
+    one_zone: msgspec.Raw = field(name="together")
+    spread: msgspec.Raw = field(name="apart")
+    spot: msgspec.Raw = field(name="standby")
+
+
 class _Named(Struct):
     id: str
 
 
 _spec = msgspec.json.Decoder(JobSpec)
+_given = msgspec.json.Decoder(_Given)
 _named = msgspec.json.Decoder(_Named)
 _ID_IN = re.compile(rb'"id"\s*:\s*"(wk-[0-9]{1,18})"')
 _beat = msgspec.json.Decoder(Beat)
@@ -178,6 +190,7 @@
 def parse_job(body: bytes) -> JobSpec:
     try:
         spec = _spec.decode(body)
+        _given.decode(body)
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         raise Malformed(str(error)) from None
     if not JOB_ID.match(spec.id):
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -133,7 +133,8 @@
 @pytest.mark.parametrize("waits_on", ['"wk-1"', "[1]", '["x"]', '["wk-1\\n"]', "{}", "[null]"])
 def test_a_malformed_list_of_jobs_is_refused(waits_on):
     body = ('{"id":"wk-2","workload":"w","owner":"t","shape":"sweep","urgency":"high","parts":1,"vcpus":1.0,'
-            '"mem_gb":1.0,"bundle":"i","image_gb":1.0,"expected_s":5.0,"waits_on":%s}')
+            '"accelerators":0.0,"mem_gb":1.0,"bundle":"i","image_gb":1.0,"together":false,"apart":false,'
+            '"standby":true,"expected_s":5.0,"snapshot_every_s":0.0,"snapshot_s":0.0,"waits_on":%s}')
     assert parse_job((body % "null").encode()).needs is None
     with pytest.raises(Malformed):
         parse_job((body % waits_on).encode())
--- a/tests/test_meetings_looks.py
+++ b/tests/test_meetings_looks.py
@@ -26,7 +26,8 @@
 from alderbridge.view import Presence, View, choose
 
 BODY = {"workload": "x", "owner": "free", "shape": "sweep", "urgency": "standard", "parts": 1, "vcpus": 1.0,
-        "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "expected_s": 10.0}
+        "accelerators": 0.0, "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "together": False, "apart": False,
+        "standby": True, "expected_s": 10.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0}
 MACHINE, STEP_S = "n-000001", 0.02
 # what a user may send as a repeated submission
 REPEATS = {"same": {}, "another body": {"parts": 7, "vcpus": 2.0}, "unknown team": {"owner": "nobody"},
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -17,7 +17,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 JOB = {"id": "wk-000001", "workload": "w", "owner": "t", "shape": "sweep", "urgency": "high", "parts": 2,
-       "vcpus": 1.0, "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "expected_s": 5.0}
+       "vcpus": 1.0, "accelerators": 0.0, "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "together": False,
+       "apart": False, "standby": False, "expected_s": 5.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0}
 
 
 class Stand(BaseHTTPRequestHandler):
--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -204,8 +204,9 @@
         spec = wire.parse_job(json.dumps({
             "id": job, "workload": job_class, "owner": self.rng.choice(TEAMS).name, "shape": "sweep",
             "urgency": priority, "parts": max(1, round(self.rng.uniform(0.5, 1.5) * tasks)), "vcpus": cpus,
-            "mem_gb": memory, "bundle": f"{name}-{self.rng.randrange(images)}", "image_gb": 1.5,
-            "expected_s": 25.0, "standby": name != "even",
+            "accelerators": 0.0, "mem_gb": memory, "bundle": f"{name}-{self.rng.randrange(images)}", "image_gb": 1.5,
+            "together": False, "apart": False, "standby": name != "even", "expected_s": 25.0,
+            "snapshot_every_s": 0.0, "snapshot_s": 0.0,
             "due_s": 190.0 if name == "wide" else None}).encode())
         self.hand_in(self.rng.choice(LABELS), spec)
 
--- a/tools/bench_opening.py
+++ b/tools/bench_opening.py
@@ -54,8 +54,9 @@
     def opening_job(self, number: int, tasks: int) -> None:
         spec = wire.parse_job(json.dumps({
             "id": f"wk-9{number:05d}", "workload": "opening", "owner": self.users.choice(base.TEAMS).name,
-            "shape": "sweep", "urgency": "high", "parts": tasks, "vcpus": 2.0, "mem_gb": 4.0,
-            "bundle": f"even-{number % 6}", "image_gb": 1.5, "expected_s": 25.0, "standby": True}).encode())
+            "shape": "sweep", "urgency": "high", "parts": tasks, "vcpus": 2.0, "accelerators": 0.0,
+            "mem_gb": 4.0, "bundle": f"even-{number % 6}", "image_gb": 1.5, "together": False, "apart": False,
+            "standby": True, "expected_s": 25.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0}).encode())
         self.hand_in(self.users.choice(base.LABELS), spec)
 
     def lead(self, label: str) -> None:
