--- a/tests/test_meetings_answers.py
+++ b/tests/test_meetings_answers.py
@@ -21,7 +21,7 @@
 from alderbridge.jobs import JobState, Record, TaskState
 from alderbridge.machines import MachineState
 from alderbridge.node import Node
-from alderbridge.store import BUDGETS, CLAIMS, DECLARED, JOBS, MACHINES, VIEW
+from alderbridge.store import BUDGETS, CLAIMS, DECLARED, JOBS, MACHINES, TYPES, VIEW
 from alderbridge.view import View, choose
 
 # -- one node, one store: what is written is read by others at once ------------------
@@ -406,6 +406,21 @@
     assert one.obeyed("hours", 20.9) == [0, 3] and one.obeyed("hours", 26.0) == [3]
 
 
+@pytest.mark.parametrize("shown", (True, False))
+def test_machine_types_in_doubt_are_written_once(shown):
+    alone = Alone()
+    flavours = alone.node.types_to_store()
+    conditions = {VIEW: alone.node.membership.mandate, TYPES: alone.node.replica.types_stamp}
+    stamp = alone.store.commit(conditions, {TYPES: flavours}).epoch
+    if shown:
+        alone.follow()
+        assert alone.node.types_to_store() is None
+    else:
+        assert alone.node.replica.types_stamp == 0, "the next try meets it"
+        assert alone.store.commit(conditions, {TYPES: alone.node.types_to_store()}).failed == [TYPES]
+    assert alone.store.data[TYPES][1] == stamp
+
+
 # -- all of it, in a world
 
 class AnswersLost(SimNode):
@@ -417,7 +432,7 @@
         world, life = self.world, self.life
         reads = method.__name__ == "read"
         cut = world.t < max(self.cut_store_until, self.refused_until)
-        if reads or cut or not world.loses_answer(self):
+        if reads or cut or not world.loses_answer(self, method, args):
             return super().call(then, fail, method, *args, too_large=too_large)
 
         def carry_out() -> None:
@@ -461,7 +476,7 @@
         super().__init__(seed, **more)
         self.meets = True
 
-    def loses_answer(self, sim):
+    def loses_answer(self, sim, method, args):
         return self.lost_from <= self.t < self.lost_until and self.rng.random() < self.lost_share
 
     def watch(self):
@@ -489,6 +504,43 @@
     assert sum(at < math.inf for at in world.cancelled_at.values()) >= 5
 
 
+def step_of(method, args):
+    """Of entering and staying: a hold is taken, the key put, the hold extended; the earlier life's is ended."""
+    if method.__name__ == "commit":
+        return "key" if len(args) == 4 and args[3] is not None else ""
+    return {"take": "take", "extend": "extend", "<lambda>": "end"}.get(method.__name__, "")
+
+
+@pytest.mark.parametrize("step, lost_s", [("take", 6.0), ("key", 6.0), ("end", 6.0), ("extend", 30.0)])
+def test_who_is_in_doubt_of_its_hold_or_key_acts_on_neither(step, lost_s):
+    """Others begin a view with a permit that its process does not know; or the store keeps a hold counted out here."""
+    world = Answers(30010, jobs=8, trouble=False)
+    world.lost_share = 0.0
+    world.run(40.0)
+    sim, store = world.nodes["host-1"], world.store
+    if step != "extend":
+        world.end(sim, 0.3)
+        world.run(40.3)
+    until, began = world.t + lost_s, world.t
+    world.loses_answer = lambda one, method, args: one is sim and world.t < until and step_of(method, args) == step
+    before = msgspec.json.decode(store.data[VIEW][0], type=View).members["host-1"]
+    acted, strange = [], False
+    while world.t < until + 25.0:
+        world.run(world.t + 0.1)
+        permit = sim.node.membership.hold.permit
+        named = msgspec.json.decode(store.data[VIEW][0], type=View).members.get("host-1", permit)
+        strange = strange or named not in (permit, before)
+        if sim.node.may_act():
+            acted.append(world.t - began)
+            assert permit == named and permit in store.holds
+    assert world.answers_lost and sim.node.may_act() and sim.node.inside
+    assert strange is (step == "key"), "a life that nobody knows was in the view"
+    if step == "extend":
+        assert not [at for at in acted if sim.node.membership.hold.ttl_s < at < lost_s], "the store keeps its hold"
+    world.run(world.t + 60.0)
+    world.remembered()
+
+
 # -- cancelled while one controller's work changes hands ------------------------------
 
 HANDS_AT, JOBS_OF, STEP_S = 40.0, 14, 1.1
@@ -551,7 +603,7 @@
     for number, job in enumerate(jobs):
         world.after(STEP_S * number, world.ask_all, job)
     if lost:
-        world.loses_answer = lambda one: one is sim and world.t < HANDS_AT + 8.0
+        world.loses_answer = lambda one, method, args: one is sim and world.t < HANDS_AT + 8.0
     change(world, sim)
     world.run(until)
     assert set(world.told) >= set(jobs)
