--- a/tests/test_meetings_terms.py
+++ b/tests/test_meetings_terms.py
@@ -15,7 +15,7 @@
 from alderbridge import mesh as m
 from alderbridge.contact import Contact, Touch
 from alderbridge.node import Node
-from alderbridge.store import VIEW
+from alderbridge.store import JOBS, VIEW
 from alderbridge.view import Hold, Membership
 
 
@@ -24,9 +24,14 @@
 
     watch_hangs_until = renewals_lost_until = still_s = 0.0
     step = ""
+    still_before = None  # key whose next transaction it stands still before, for 15 s
 
     def call(self, then, fail, method, *args, too_large=None):
         world = self.world
+        if method == world.store.commit and self.still_before in args[1]:
+            self.frozen_until, self.still_before = world.t + 15.0, None
+            self.thawed(functools.partial(super().call, too_large=too_large), then, fail, method, *args)
+            return
         if self.step == "follow" and world.t < self.watch_hangs_until:
             world.after(self.watch_hangs_until - world.t, super().call, then, fail, method, *args)
         elif self.step == "hold" and world.t < self.renewals_lost_until:
@@ -67,9 +72,10 @@
 
     def until(self, true, at_most):
         """Runs until that is so."""
-        end = self.t + at_most
-        while not true() and self.t < end:
-            self.run(self.t + 0.05)
+        at, end = self.t, self.t + at_most
+        while not true() and at < end:
+            at += 0.05
+            self.run(at)
         assert true()
 
 
@@ -363,3 +369,40 @@
     monkeypatch.setattr(Membership, "followed", lambda self, sent_at: followed(self, clock[0].t))
     with pytest.raises(Broken, match="left_out"):
         still_between_question_and_answer(33100)
+
+
+def still_before_an_end_is_sent(seed):
+    """A home is about to write that a job is cancelled, stands still and is replaced; then all are asked."""
+    world = Terms(seed, 5)
+    world.run(50.0)
+    job, label = next((job, label) for job in sorted(world.accepted) for label in world.labels
+                      if world.nodes[label].node.home_of(job) == label != world.view.leader)
+    sim = world.nodes[label]
+    sim.still_before = JOBS + job
+    world.cancelled_at[job] = float("inf")
+    sim.withdraw(job, lambda state: None)
+    world.until(lambda: sim.still_before is None, 3.0)
+    world.until(lambda: label not in world.view.members, 14.0)
+    goes_on = sim.frozen_until
+    for step in range(100):
+        world.run(goes_on - 0.1 + 0.01 * step)
+        for one in world.nodes.values():
+            state = world.question(one, job)
+            if state is not None:
+                world.answer(job, state)
+
+
+def test_an_end_that_is_sent_after_its_home_was_replaced_is_not_written(monkeypatch):
+    still_before_an_end_is_sent(33200)
+    real = Node.next_batch
+
+    def next_batch(self, now):
+        batch = real(self, now)
+        if batch is not None:
+            batch.conditions.pop(VIEW)
+        return batch
+
+    monkeypatch.setattr(Node, "next_batch", next_batch)
+    with pytest.raises(Broken, match="went_back"):
+        for seed in range(33200, 33204):
+            still_before_an_end_is_sent(seed)
