--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -213,6 +213,31 @@
     assert world.t > 60.0 + ROOM_S
 
 
+def test_a_team_does_not_stand_still_for_a_job_that_no_machine_can_be_had_for():
+    """Found by the random meetings (a team waited 90 s beside room, with nothing of it on a machine).
+
+    The cause: the whole of a team's limit went, as its allowance, to the home of the job that came first. No machine
+    that fits it was there, and the cloud had none; so nobody used the allowance, and nobody else was given any.
+    """
+    world = calm(3)
+    rent = world.rent
+    world.rent = lambda kind, count: [] if kind.type == "large" else rent(kind, count)
+    for number in range(10):
+        sent(world, number, estimate_s=1000.0)
+    world.run(40.0)
+    spec = msgspec.structs.replace(world.make_job(20), kind="sweep", tasks=8, types=["large"], zone=None, team="bound",
+                                   one_zone=False, spread=False, spot=True, cpus=4.0, priority="high")
+    world.submit(spec)
+    world.run(60.0)
+    assert spec.id in world.accepted and spec.id not in world.began
+    other = [msgspec.structs.replace(spec, id=f"wk-{number}", types=None, tasks=1, cpus=1.0, priority="standard")
+             for number in range(6)]
+    for one in other:
+        world.submit(one)
+    world.run(180.0)
+    assert world.longest_wait < 45.0 and all(one.id in world.began for one in other)
+
+
 @pytest.mark.parametrize("why", ["no room", "at its limit", "not for it", "cut off", "cancelled"])
 def test_who_waits_beside_no_room_that_fits_is_not(monkeypatch, why):
     world = calm(until=30.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -489,19 +489,20 @@
             names = world.rent(kind, count)
             if world.t < world.quick_until:  # the machines are up and report before the answer is here
                 self.renting = True
-                world.after(world.rng.uniform(0.5, 3.0), self.rented, self.life, kind, names)
+                world.after(world.rng.uniform(0.5, 3.0), self.rented, self.life, kind, names, count)
             else:
-                node.leader.on_rented(kind, names, world.t)
+                self.rented(self.life, kind, names, count)
         if decision.give_back and world.rng.random() < 0.95:
             world.remove(decision.give_back)
             if world.rng.random() < 0.95:
                 node.returned(decision.give_back, world.t)
 
-    def rented(self, life: int, kind, names: list[str]) -> None:
+    def rented(self, life: int, kind, names: list[str], count: int) -> None:
         if life == self.life:
             self.renting = False
             self.node.leader.on_rented(kind, names, self.world.t)
-            self.flush()
+            if len(names) < count:
+                self.node.leader.on_refused(kind, self.world.t)
 
     # -- users, as ``Controller`` serves them; ``told`` a state, ``NOT_FOUND``, or None for 503
 
