A team's limit is not kept for a job that no machine can be had for

Cause: a team's allowances, and what is rented within its limit, went in the order of placement. Where the first job fitted no machine that was there and the cloud refused all that it may use, its home got the whole limit, used nothing of it, and the team's other jobs waited beside room for as long as that lasted.

Change: while a kind is refused, what no machine is there for, and none can be had for, comes last in both orders. Nothing changes where nothing was refused.

test_a_team_does_not_stand_still_for_a_job_that_no_machine_can_be_had_for: failed before (a job waited 90 s beside room), passes.

--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -150,7 +150,7 @@
         Of a team's limit, what its allowances are given for: in another order a machine was rented for one job and the
         allowance kept for another that could not use it, and where all were late neither ever began.
         """
-        waiting = []
+        waiting, kinds = [], self._kinds_in_reach(now)
         for queue, at in self.queues.values():
             for row in queue.rows:
                 spec = self.replica.spec(row.job)
@@ -158,12 +158,31 @@
                     count = max(0, row.waiting - self.lent(row, spec))
                     count += row.inherited if self.hold_back.counts_inherited else 0
                     demand = Demand(spec, count, row.due_in_s - (now - at), row.run_s, row.zone)
-                    waiting.append((placement.order(row, spec, row.due_in_s), demand))
+                    waiting.append((self._order(row, spec, kinds), demand))
         waiting.sort(key=lambda entry: entry[0])
         result = self._within_limits([demand for _, demand in waiting])
         result.sort(key=lambda demand: demand.due_in_s)
         return result
 
+    def _kinds_in_reach(self, now: float) -> set[Kind] | None:
+        """Kinds of which a machine is there, on its way or may be rented; None where nothing was lately refused."""
+        if not any(until > now for until in self.market.refused_until.values()):
+            return None
+        there = {rental.kind for rental in self.rentals.values()
+                 if rental.state in (RentalState.BOOTING, RentalState.UP) and rental.kind.type in self.market.types}
+        return there | set(self.market.kinds(now))
+
+    def _order(self, row: QueueRow, spec: JobSpec, kinds: set[Kind] | None) -> tuple:
+        """In the order of placement, but last what no machine is there for, and none can be had for.
+
+        Guarded: a team's limit is not kept, as an allowance or for a rental, for a job that can't use it as long as the
+        cloud refuses what it needs, while others of the team wait beside room (test_a_team_does_not_stand_still_...).
+        """
+        out_of_reach = kinds is not None and not any(
+            row.zone in (None, kind.zone) and placement.allowed(spec, kind.type, kind.zone, kind.spot)
+            and placement.fits(spec, self.market.room(kind)) for kind in kinds)
+        return out_of_reach, placement.order(row, spec, row.due_in_s)
+
     def _within_limits(self, demands: list[Demand]) -> list[Demand]:
         """A team's tasks beyond its limit cannot run at once: they ask for nothing."""
         limits = {team.name: team.cpus_max for team in self.teams if team.cpus_max > 0}
@@ -315,12 +334,12 @@
 
     def _needs(self) -> dict[str, tuple[list[tuple[str, float]], list[tuple[str, float]]]]:
         """Per team, what waits where (cpus, gpus), in the order of placement."""
-        waiting = []
+        waiting, kinds = [], self._kinds_in_reach(max((at for _, at in self.queues.values()), default=0.0))
         for label in self.members:
             for row in self.queues[label][0].rows:
                 spec = self.replica.spec(row.job)
                 if spec is not None and row.waited_s >= 0:  # before its turn after an opening it takes no allowance
-                    waiting.append((placement.order(row, spec, row.due_in_s), label, row.waiting, spec))
+                    waiting.append((self._order(row, spec, kinds), label, row.waiting, spec))
         needs: dict[str, tuple[list, list]] = {team.name: ([], []) for team in self.teams}
         for _, label, count, spec in sorted(waiting, key=lambda entry: entry[:2]):
             if spec.team in needs:
