--- a/tests/world.py
+++ b/tests/world.py
@@ -120,6 +120,8 @@
         self.late_share, self.late_until = 0.0, 0.0  # of what changes the store: carried out late, without an answer
         self.lost_share, self.lost_until = 0.0, 0.0  # of what changes the store: carried out at once, no answer
         self.most_changes, self.value_bytes = 12, 4 * 1024
+        self.view_began = lambda: None  # told by whoever wants to know
+        self.ended = lambda job: None  # a job's end is stored
         self.too_large = 0  # what it had to refuse for its size
         self.differs_since: float | None = None  # since when the view lacks who is there, or has who is not
         self.longest_change = 0.0  # that anybody waited for a view, or for the next one
@@ -176,10 +178,10 @@
         if VIEW in puts or permit is not None:
             self.elections(VIEW in puts)
         if VIEW in puts:
-            self.world.view_began()
+            self.view_began()
         for key, value in puts.items():
             if key.startswith(JOBS) and getattr(value, "state", JobState.ACTIVE) is not JobState.ACTIVE:
-                self.world.look_closely(key[len(JOBS):])
+                self.ended(key[len(JOBS):])
         return wire.Committed(self.epoch)
 
     def rows(self) -> list[wire.Row]:
@@ -926,6 +928,7 @@
         self.events: list = []
         self.order = itertools.count()
         self.store = SimStore(self)
+        self.store.view_began, self.store.ended = self.view_began, self.look_closely
         self.machines: dict[str, SimWorker | None] = {}
         self.kinds: dict[str, tuple] = {}
         self.lagging: deque = deque()
