--- a/tests/test_meetings_rooms.py
+++ b/tests/test_meetings_rooms.py
@@ -3,12 +3,13 @@
 ``Judge`` keeps its own account of what could run, from the workers' own state, and asks no controller.
 """
 
+import json
 import math
 from collections import deque
 
 import msgspec
 import pytest
-from world import LABELS, TEAMS, TYPES, Broken, SimNode, World
+from world import LABELS, TEAMS, TYPES, Broken, SimNode, SimWorker, World
 
 from alderbridge import constants as c
 from alderbridge import placement, wire
@@ -18,6 +19,7 @@
 from alderbridge.view import View
 
 STANDING_S = 8  # s; more than two reports and the answers to them
+AWAY = "a"  # the zone that is cut off
 ROOM_WAIT_S = 90.0  # LATER.md's bound: nothing waits so long beside room, once all troubles are over
 
 
@@ -314,3 +316,88 @@
         node.batch_done(batch, world.store.epoch, world.t + 2.0)
     assert submission.outcome == "accepted" and taken.index("wk-000099") < 2
     assert taken.index("wk-000098") in (22, 23), "behind the ends before it, two to a transaction"
+
+
+# -- a zone that is cut off ----------------------------------------------------------------
+
+class ZoneNode(RoomsNode):
+    """While its zone is away it reaches that zone's workers alone, and nobody outside reaches them."""
+
+    def inside(self) -> bool:
+        return self.label == self.world.away and self.world.t < self.world.away_until
+
+    def beat(self, raw: bytes, reply) -> None:
+        if self.world.t < self.world.away_until:
+            if (json.loads(raw)["site"] == AWAY) != (self.label == self.world.away):
+                return None
+        return super().beat(raw, reply)
+
+    def lead(self) -> None:
+        if not self.inside():  # the cloud is out of reach there
+            super().lead()
+
+
+class ZoneWorker(SimWorker):
+    def command(self, mandate: int, tenure: int, reply) -> None:
+        """Packets from outside are held back until the zone is there again; from inside none has a newer mandate."""
+        world = self.world
+        if self.kind.zone == AWAY and world.t < world.away_until and mandate > world.mandate_inside:
+            world.after(world.away_until - world.t + 0.01, self.command, mandate, tenure, reply)
+        else:
+            super().command(mandate, tenure, reply)
+
+
+class Zones(Rooms):
+    """Arrays bound to a zone, to one zone whichever, or spread over both; then a zone goes, and machines with it."""
+
+    process = ZoneNode
+
+    def __init__(self, seed, jobs=30, machines=24, **more) -> None:
+        self.away, self.away_until, self.mandate_inside = "", 0.0, 0
+        super().__init__(seed, machines=machines, **more)
+        rng = self.rng
+        for number in range(jobs):
+            where = [{"zone": "a"}, {"zone": "b"}, {"one_zone": True}, {"spread": True}][number % 4]
+            spec = array(number, tasks=rng.randint(2, 9), cpus=rng.choice([1.0, 2.0]), **where,
+                         estimate_s=rng.uniform(15.0, 50.0), team="free" if number % 6 else "bound")
+            self.after(rng.uniform(5.0, 60.0), self.send, spec)
+
+    def boot(self, name, kind) -> None:
+        if name in self.kinds:
+            self.machines[name] = ZoneWorker(self, name, kind)
+
+    def question(self, sim, job):
+        return None if sim.inside() else super().question(sim, job)
+
+    def cut_zone(self, label: str, for_s: float, dead: float) -> None:
+        """``dead``: of the machines in each zone, the share that ends at the moment of the cut."""
+        sim = self.nodes[label]
+        self.away, self.away_until = label, self.t + for_s
+        self.mandate_inside = self.store.data[VIEW][1]
+        sim.cut_store_until = sim.cut_mesh_until = self.away_until
+        self.takes_users = [one for one in LABELS if one != label]
+        self.after(for_s, setattr, self, "takes_users", list(LABELS))
+        for worker in [one for one in self.machines.values() if one is not None and one.alive]:
+            if self.rng.random() < dead:
+                worker.die()
+
+
+def zone_away(seed, leads, for_s, dead=0.2, until=150.0, **more):
+    world = Zones(seed, **more)
+    world.run(45.0)
+    label = world.leader.label if leads else min(set(LABELS) - {world.leader.label})
+    there = [part for part, name in world.on.items() if world.machines[name].kind.zone == AWAY]
+    world.cut_zone(label, for_s, dead)
+    world.run(45.0 + for_s + 15.0)
+    judge = Judge(world, world.t)
+    world.run(45.0 + for_s + until)
+    return world, judge, there
+
+
+@pytest.mark.parametrize("seed, leads, for_s", [(1, True, 30.0), (2, False, 50.0)])
+def test_a_zone_with_workers_and_a_controller_is_away_for_longer_than_a_lease(seed, leads, for_s):
+    """Nothing runs outside its zone, or where tasks may still run inside; when the zone is back all of it is done."""
+    world, judge, there = zone_away(seed, leads, for_s)
+    assert len(there) >= 5, "tasks ran in there"
+    assert {world.said.get(job) for job in world.accepted} == {"done"} and len(world.accepted) == 30
+    assert judge.longest < ROOM_WAIT_S
