Unused changes are taken only by who has users waiting, and said at once

Lent to all, five idle members would each have made all the others' changes for the second until they heard of each other.

--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -637,10 +637,14 @@
         waited there for a minute, while four fifths lay unused. Who lends has its own share at once when it needs it;
         should all be more than the store takes for a moment, it says so, and the same goes a little later.
         """
-        if now - self.changes_at >= c.LEADER_ROUND_S:
-            made = math.ceil(self.changes / (now - self.changes_at))
+        # At once when users wait: who takes what is lent says so, and lends nothing itself, from the same round on.
+        if now - self.changes_at >= c.LEADER_ROUND_S or (self.short and self.changes_told < self.write_share):
+            made = math.ceil(self.changes / max(c.ROUND_S, now - self.changes_at))
             self.changes_told = max(made, math.ceil(self.write_share)) if self.short else made
             self.changes, self.changes_at, self.short = 0, now, False
+        if self.changes_told < self.write_share:
+            self.write_budget.change(self.write_share, self.write_share, now)
+            return
         lent, takers = 0.0, 1
         for label in self.membership.view.members:
             queue, at = self.leader.queues.get(label, (None, now))
--- a/tests/test_meetings_rooms.py
+++ b/tests/test_meetings_rooms.py
@@ -160,7 +160,7 @@
         self.attempt(spec)
 
     def attempt(self, spec: wire.JobSpec) -> None:
-        if spec.id in self.accepted:
+        if spec.id in self.accepted_at:  # its user was told; the store may have had it before
             return
         healthy = [label for label in self.takes_users if (node := self.nodes[label].node) is not None
                    and node.may_act()]
