--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -475,7 +475,7 @@
                         continued and self.membership.all_run(c.RECOVERY))
         self.leader.enter(members, now)
         # Only members write. Divided by all controllers of the settings, four fifths of the store's changes lay unused
-        # while the one that was left made the users of a stream of small jobs wait for a minute.
+        # while the one that was left made the users of a stream of small jobs wait for half a minute.
         self.write_share = self.limits.write_rps * c.BUDGET_SHARE / max(1, len(members))
         self.write_budget.change(self.write_share, self.write_share, now)
         self.ledger.enter()
@@ -634,7 +634,7 @@
         """What this member makes of its share of changes, and what it may make of the others'.
 
         Users may all be at one controller, whose equal share is a fifth of what the store takes: a stream of small jobs
-        waited there for a minute, while four fifths lay unused. Who lends has its own share at once when it needs it;
+        waited there for half a minute, while four fifths lay unused. Who lends has its own share at once when it needs it;
         should all be more than the store takes for a moment, it says so, and the same goes a little later.
         """
         # At once when users wait: who takes what is lent says so, and lends nothing itself, from the same round on.
--- a/tests/test_meetings_rooms.py
+++ b/tests/test_meetings_rooms.py
@@ -290,7 +290,7 @@
 
 @pytest.mark.parametrize("alone", (False, True))
 def test_one_controller_takes_a_stream_where_the_others_leave_their_share_of_the_changes(alone):
-    """Its equal share is a fifth of what the store takes: users waited there for up to 84 s."""
+    """Its equal share is a fifth of what the store takes: users waited there for up to 34 s."""
     world, _ = stream(2, users=["host-2"], alone=alone, write_rps=35.0, for_s=60.0, leader_ends=False)
     found = waits(world)
     assert len(world.accepted) == 240 and found[int(0.9 * len(found))] < 0.3 and found[-1] < 15.0
