--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -634,8 +634,8 @@
         """What this member makes of its share of changes, and what it may make of the others'.
 
         Users may all be at one controller, whose equal share is a fifth of what the store takes: a stream of small jobs
-        waited there for half a minute, while four fifths lay unused. Who lends has its own share at once when it needs it;
-        should all be more than the store takes for a moment, it says so, and the same goes a little later.
+        waited there for half a minute, while four fifths lay unused. Who lends has its own share at once; should
+        all be more than the store takes for a moment, it says so, and the same goes a little later.
         """
         # At once when users wait: who takes what is lent says so, and lends nothing itself, from the same round on.
         if now - self.changes_at >= c.LEADER_ROUND_S or (self.short and self.changes_told < self.write_share):
