Simulated world: submissions bear all fields, a malformed repeat is answered as the program does

Cause: the new checks of submissions met a world whose bodies left out defaults, and whose malformed repeats were refused without a look.

--- a/tests/test_meetings_rooms.py
+++ b/tests/test_meetings_rooms.py
@@ -116,7 +116,7 @@
     def tell_users(self) -> None:
         for item in self.node.news:
             if isinstance(item, Submission):
-                self.world.told(item)
+                self.world.decided(item)
         super().tell_users()
 
 
@@ -135,6 +135,7 @@
         super().__init__(seed, jobs=0, trouble=False, nodes=5, machines=machines, coming=NextState(write_rps=write_rps),
                          **more)
         self.meets = True  # users cancel through any controller
+        self.calm_at = math.inf  # when troubles are over each test says to its own judge
         self.rate, self.level, self.filled_at, self.too_fast, self.changes = write_rps, write_rps, 0.0, 0, 0
         commit = self.store.commit
 
@@ -179,7 +180,7 @@
         self.hopes[submission] = (spec, life)
         self.after(c.SUBMIT_WAIT_S, self.given_up, submission)
 
-    def told(self, submission: Submission) -> None:
+    def decided(self, submission: Submission) -> None:
         spec, _ = self.hopes.pop(submission, (None, None))
         if spec is None:
             return
--- a/tests/world.py
+++ b/tests/world.py
@@ -75,9 +75,12 @@
 ON_MACHINES = ("deaf", "held_up", "hang", "cut_machine", "mute")
 STREAM_S, STREAM_CANCELLED = 0.25, 0.25  # s between one-task jobs; the share of them that users cancel
 LEADERS, LEADERS_S = 10, 120.0
+# What a submission says though a record leaves it out where it has its default.
+GIVEN = {"accelerators": 0.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0, "together": False, "apart": False,
+         "standby": False}
 # What is put in a submission's place of a field, None: left out. No field: all of these.
 FLAWS = [(name, None) for name in ("id", "workload", "owner", "shape", "urgency", "parts", "vcpus", "mem_gb", "bundle",
-                                   "image_gb", "expected_s")]
+                                   "image_gb", "expected_s", *GIVEN)]
 FLAWS += [("parts", 0), ("parts", 100_001), ("parts", 1.5), ("parts", True), ("vcpus", math.nan), ("vcpus", -1.0),
           ("vcpus", 0.0), ("vcpus", "2"), ("mem_gb", -1.0), ("mem_gb", 65.0), ("owner", "nobody"), ("site", "z"),
           ("shape", "round"), ("urgency", 1), ("flavours", ["none"]), ("flavours", "small"), ("accelerators", 1.0),
@@ -99,6 +102,11 @@
     return Platform(label, "a", "127.0.0.1:1", "127.0.0.1:2", peers, Endpoints("127.0.0.1:3", "127.0.0.1:4"), shared)
 
 
+def submission_of(spec: wire.JobSpec) -> dict:
+    """The body that a user sends for it."""
+    return GIVEN | json.loads(msgspec.json.encode(spec))
+
+
 class Refused(Exception):
     pass
 
@@ -564,7 +572,11 @@
         try:
             spec = wire.parse_job(body)
         except wire.Malformed:
-            told(NOT_FOUND)
+            job = wire.named(body)
+            if job:
+                self.status(job, told)
+            else:
+                told(NOT_FOUND)
             return
 
         def known() -> None:
@@ -1149,7 +1161,7 @@
     def repeat(self, sim: SimNode, job: str, flaw: dict | None = None) -> None:
         """The submission once more, maybe with another body."""
         if sim.node is not None:
-            body = json.loads(msgspec.json.encode(self.specs[job])) | (flaw or {})
+            body = submission_of(self.specs[job]) | (flaw or {})
             sim.send_job(json.dumps(body).encode(), lambda state, asked=self.t: self.told(job, state, asked))
 
     def look_closely(self, job: str) -> None:
@@ -1183,7 +1195,7 @@
         elif kind == "withdraw" and over:
             self.withdraw_through(sim, rng.choice(over), again=False)
         elif kind == "flawed" and sim.node is not None:
-            body = json.loads(msgspec.json.encode(self.make_job(next(self.numbers))))
+            body = submission_of(self.make_job(next(self.numbers)))
             field, value = rng.choice(FLAWS)
             if value is None:
                 del body[field]
