--- a/alderbridge/claims/__init__.py
+++ b/alderbridge/claims/__init__.py
@@ -10,5 +10,23 @@
 from .preemption import Teams, allowed
 from .records import Claim, Spent, Stops, budget_of
 
-__all__ = ["Budget", "Claim", "ClaimState", "Group", "Held", "Ledger", "Limit", "Need", "Spent", "Stops", "Teams",
-           "Transaction", "Victim", "allowed", "budget_of", "choose", "loss", "loss_s"]
+__all__ = [
+    "Budget",
+    "Claim",
+    "ClaimState",
+    "Group",
+    "Held",
+    "Ledger",
+    "Limit",
+    "Need",
+    "Spent",
+    "Stops",
+    "Teams",
+    "Transaction",
+    "Victim",
+    "allowed",
+    "budget_of",
+    "choose",
+    "loss",
+    "loss_s",
+]
--- a/alderbridge/claims/budget.py
+++ b/alderbridge/claims/budget.py
@@ -23,8 +23,9 @@
 class Budget:
     """What may still be stopped now, while victims are chosen."""
 
-    def __init__(self, spent: Spent, wall: float, stopping: Mapping[str, int], running: int,
-                 limit: Callable[[Need], Limit]) -> None:
+    def __init__(
+        self, spent: Spent, wall: float, stopping: Mapping[str, int], running: int, limit: Callable[[Need], Limit]
+    ) -> None:
         """``stopping``: victims of claims that are not gone yet, by budget; ``running``: tasks that run in all."""
         self.spent, self.wall, self.running, self.limit = spent, wall, running, limit
         self.stopping = Counter(stopping)
@@ -33,8 +34,9 @@
     def left(self, need: Need) -> int:
         name, limit = budget_of(need.spec.team, need.reason), self.limit(need)
         at_once = min(limit.at_once, max(1, int(limit.share * self.running)))
-        return max(0, min(limit.a_minute - self.spent.within(name, self.wall),
-                          at_once - self.stopping[name]) - self.now[name])
+        return max(
+            0, min(limit.a_minute - self.spent.within(name, self.wall), at_once - self.stopping[name]) - self.now[name]
+        )
 
     def spend(self, need: Need, count: int) -> None:
         self.now[budget_of(need.spec.team, need.reason)] += count
--- a/alderbridge/claims/choosing.py
+++ b/alderbridge/claims/choosing.py
@@ -97,9 +97,16 @@
 
 
 class _Choice:
-    def __init__(self, machines: Iterable[Held], may: Callable[[Need, Victim], bool], cost: Callable[[Victim], float],
-                 budget: Budget, take: Callable[[Victim, int], None], place: Callable[[Need, Held], float],
-                 most: int) -> None:
+    def __init__(
+        self,
+        machines: Iterable[Held],
+        may: Callable[[Need, Victim], bool],
+        cost: Callable[[Victim], float],
+        budget: Budget,
+        take: Callable[[Victim, int], None],
+        place: Callable[[Need, Held], float],
+        most: int,
+    ) -> None:
         self.machines = {held.machine: _Machine(held) for held in machines}
         self.may, self.cost, self.budget, self.take, self.place, self.most = may, cost, budget, take, place, most
         self.of_job: Counter[str] = Counter()
@@ -249,14 +256,22 @@
         need = needs[machine.job]
         save = max((v.spec.save_s for v in machine.victims if v.spec.checkpoint_s > 0), default=0.0)
         victims = [(victim.job, victim.index, victim.attempt) for victim in machine.victims]
-        return Claim(need.reason, need.spec.id, machine.made, victims, save, wall + save + c.CLAIM_KEEP_S,
-                     need.spec.team, wall)
-
-
-def choose(needs: Iterable[Need], machines: Iterable[Held], allowed: Callable[[Need, Victim], bool],
-           cost: Callable[[Victim], float], budget: Budget, wall: float,
-           take: Callable[[Victim, int], None] = lambda victim, sign: None,
-           place: Callable[[Need, Held], float] = lambda need, held: 0.0, most: int = 12) -> list[Group]:
+        return Claim(
+            need.reason, need.spec.id, machine.made, victims, save, wall + save + c.CLAIM_KEEP_S, need.spec.team, wall
+        )
+
+
+def choose(
+    needs: Iterable[Need],
+    machines: Iterable[Held],
+    allowed: Callable[[Need, Victim], bool],
+    cost: Callable[[Victim], float],
+    budget: Budget,
+    wall: float,
+    take: Callable[[Victim, int], None] = lambda victim, sign: None,
+    place: Callable[[Need, Held], float] = lambda need, held: 0.0,
+    most: int = 12,
+) -> list[Group]:
     """Claims for the needs, most urgent first, each machine for one job.
 
     ``machines``: those without a claim. ``allowed`` is asked for each victim; ``take`` tells it of one more (1) or
--- a/alderbridge/claims/desk.py
+++ b/alderbridge/claims/desk.py
@@ -38,11 +38,13 @@
 
     def shown(self, spec: JobSpec) -> bool: ...
 
-    def told(self, rows: Sequence[TaskRow], kinds: Mapping[str, Kind], specs: Callable[[str], JobSpec | None]
-             ) -> None: ...
+    def told(
+        self, rows: Sequence[TaskRow], kinds: Mapping[str, Kind], specs: Callable[[str], JobSpec | None]
+    ) -> None: ...
 
-    def choose(self, needs: list[Need], machines: list[Held], budget: Budget, wall: float, most: int
-               ) -> list[Group]: ...
+    def choose(
+        self, needs: list[Need], machines: list[Held], budget: Budget, wall: float, most: int
+    ) -> list[Group]: ...
 
     def preemptible(self, spec: JobSpec) -> bool: ...
 
@@ -130,22 +132,30 @@
         return False
 
     def _choose(self, now: float, wall: float, teams: Teams, most: int) -> None:
-        kinds = {row.machine: Kind(row.type, row.zone, row.spot) for room, _ in self.leader.rooms.values()
-                 for row in room.rows if row.state == "up"}
+        kinds = {
+            row.machine: Kind(row.type, row.zone, row.spot)
+            for room, _ in self.leader.rooms.values()
+            for row in room.rows
+            if row.state == "up"
+        }
         rows = [row for tasks, _ in self.told.values() for row in tasks.rows]
         running = sum(len(row.tasks) for row in rows)
         for machine, claim in self.ledger.all().items():
-            for job, _, _ in claim.victims[:self.victims_left(machine, claim)]:
+            for job, _, _ in claim.victims[: self.victims_left(machine, claim)]:
                 spec = self.leader.replica.spec(job)
                 if spec is not None:
                     teams.take(spec, 1)
         taken: set[str] = set()
         groups = []
         for source, needs in self.wanted:
-            free = [row for row in rows if row.machine in kinds and row.machine not in taken
-                    and self.ledger.claim_of(row.machine) is None]
-            machines = [Held(row.machine, kinds[row.machine], row.free, self._victims(row, source, wall))
-                        for row in free]
+            free = [
+                row
+                for row in rows
+                if row.machine in kinds and row.machine not in taken and self.ledger.claim_of(row.machine) is None
+            ]
+            machines = [
+                Held(row.machine, kinds[row.machine], row.free, self._victims(row, source, wall)) for row in free
+            ]
             source.teams = teams
             source.told(rows, kinds, self.leader.replica.spec)
             budget = Budget(self.ledger.spent, wall, self.stopping(), running, source.limit)
@@ -162,8 +172,19 @@
             spec = self.leader.replica.spec(job)
             if spec is not None and source.preemptible(spec):
                 saved = ran_s % spec.checkpoint_s if spec.checkpoint_s > 0 else None
-                result.append(Victim(job, index, attempt, spec, ran_s, saved, ledger.stops_of(job, index), sure,
-                                     ledger.stopped_since(job, wall)))
+                result.append(
+                    Victim(
+                        job,
+                        index,
+                        attempt,
+                        spec,
+                        ran_s,
+                        saved,
+                        ledger.stops_of(job, index),
+                        sure,
+                        ledger.stopped_since(job, wall),
+                    )
+                )
         return result
 
     # -- what is over ----------------------------------------------------------
--- a/alderbridge/claims/ledger.py
+++ b/alderbridge/claims/ledger.py
@@ -121,7 +121,7 @@
             if stamp > self.spent_stamp:
                 self.spent, self.spent_stamp = (Spent() if data is None else _spent.decode(data)), stamp
         elif key.startswith(STOPS):
-            job = key[len(STOPS):]
+            job = key[len(STOPS) :]
             known = self.stops.get(job)
             if known is not None and stamp <= known[1]:
                 return
@@ -131,7 +131,7 @@
             else:
                 self.stops[job] = (_stops.decode(data), stamp)
         elif key.startswith(CLAIMS):
-            machine = key[len(CLAIMS):]
+            machine = key[len(CLAIMS) :]
             known = self.entries.get(machine)
             if known is not None and stamp <= known.stamp:
                 return
@@ -245,9 +245,15 @@
             self.apply(key, None, stamp, now)
         for group in tx.groups:
             for machine, claim in group.items():
-                log.info("claim=%s state=held reason=%s for=%s team=%s tasks=%d stops=%s", machine, claim.reason,
-                         claim.job, claim.team, claim.count,
-                         ",".join(f"{job}/{index}" for job, index, _ in claim.victims))
+                log.info(
+                    "claim=%s state=held reason=%s for=%s team=%s tasks=%d stops=%s",
+                    machine,
+                    claim.reason,
+                    claim.job,
+                    claim.team,
+                    claim.count,
+                    ",".join(f"{job}/{index}" for job, index, _ in claim.victims),
+                )
 
     def failed(self, tx: Transaction, now: float = 0.0) -> None:
         """In conflict, refused or without an answer: it may yet be carried out, and is not sent again."""
--- a/alderbridge/cli.py
+++ b/alderbridge/cli.py
@@ -49,8 +49,10 @@
         print(f"{args.config}: good")
         kept = platform.settings.state.kept
         if platform.settings.state.next is not None:
-            print(f"state service, kept from the start: rps {kept.rps:g}, write_rps {kept.write_rps:g}, "
-                  f"value_kb {kept.value_kb:g}, txn_ops {kept.txn_ops}")
+            print(
+                f"state service, kept from the start: rps {kept.rps:g}, write_rps {kept.write_rps:g}, "
+                f"value_kb {kept.value_kb:g}, txn_ops {kept.txn_ops}"
+            )
         for kind, path in tuning.declared.items():
             print("\n".join([f"{path}: good", *declared.check_lines(own[kind])]))
         return 0
--- a/alderbridge/config.py
+++ b/alderbridge/config.py
@@ -70,9 +70,15 @@
     def kept(self) -> State:
         """The tighter of both limits, each: nobody says when the change comes."""
         later = self.next or NextState()
-        rps, writes, size, ops = (have if new is None else min(have, new) for have, new in (
-            (self.rps, later.rps), (self.write_rps, later.write_rps),
-            (self.value_kb, later.value_kb), (self.txn_ops, later.txn_ops)))
+        rps, writes, size, ops = (
+            have if new is None else min(have, new)
+            for have, new in (
+                (self.rps, later.rps),
+                (self.write_rps, later.write_rps),
+                (self.value_kb, later.value_kb),
+                (self.txn_ops, later.txn_ops),
+            )
+        )
         return State(rps, writes, size, ops)
 
 
@@ -149,8 +155,12 @@
         conf = msgspec.json.decode(raw, type=Platform)
     except msgspec.DecodeError as error:
         raise ConfigError(f"{path}: {error}") from None
-    places = {"listen": conf.listen, "mesh_addr": conf.mesh_addr,
-              "endpoints.cloud": conf.endpoints.cloud, "endpoints.state": conf.endpoints.state}
+    places = {
+        "listen": conf.listen,
+        "mesh_addr": conf.mesh_addr,
+        "endpoints.cloud": conf.endpoints.cloud,
+        "endpoints.state": conf.endpoints.state,
+    }
     places |= {f"peers[{i}].addr": peer.addr for i, peer in enumerate(conf.peers)}
     for key, value in places.items():
         try:
@@ -161,11 +171,17 @@
     if len(set(labels)) != len(labels):
         raise ConfigError(f"{path}: peers: expected labels that differ, got {labels}")
     shared = conf.settings
-    positive = {"workers.lease_s": shared.workers.lease_s, "workers.report_s": shared.workers.report_s,
-                "workers.cancel_s": shared.workers.cancel_s, "state.rps": shared.state.rps,
-                "state.write_rps": shared.state.write_rps, "state.txn_ops": shared.state.txn_ops,
-                "state.value_kb": shared.state.value_kb, "cloud.rps": shared.cloud.rps,
-                "limits.max_sockets": shared.limits.max_sockets}
+    positive = {
+        "workers.lease_s": shared.workers.lease_s,
+        "workers.report_s": shared.workers.report_s,
+        "workers.cancel_s": shared.workers.cancel_s,
+        "state.rps": shared.state.rps,
+        "state.write_rps": shared.state.write_rps,
+        "state.txn_ops": shared.state.txn_ops,
+        "state.value_kb": shared.state.value_kb,
+        "cloud.rps": shared.cloud.rps,
+        "limits.max_sockets": shared.limits.max_sockets,
+    }
     if shared.state.next is not None:
         coming = msgspec.structs.asdict(shared.state.next)
         positive |= {f"state.next.{key}": number for key, number in coming.items() if number is not None}
--- a/alderbridge/contact.py
+++ b/alderbridge/contact.py
@@ -132,8 +132,11 @@
                 peer.fall_silent()
             # Who was never heard may not know this view, and act under the one before.
             bound_s = self.contact_s if peer.knows else max(self.contact_s, self.unheard_s)
-            if (peer.touch is Touch.SILENT and quiet > bound_s * (1 + c.CLOCK_DRIFT)
-                    and self._missed_by(peer.label) >= self.majority):
+            if (
+                peer.touch is Touch.SILENT
+                and quiet > bound_s * (1 + c.CLOCK_DRIFT)
+                and self._missed_by(peer.label) >= self.majority
+            ):
                 peer.give_up()
                 self.given_up[peer.label].add(self.me)
         lost = now >= self.until
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -39,16 +39,14 @@
 
 
 class Controller:
-    def __init__(self, platform: Platform, tuning: Tuning, poll: Poll,
-                 own: dict[str, Declared] | None = None) -> None:
+    def __init__(self, platform: Platform, tuning: Tuning, poll: Poll, own: dict[str, Declared] | None = None) -> None:
         shared = platform.settings
         self.platform, self.poll = platform, poll
         self.node = Node(platform, tuning, now(), own=own)
         self.membership = self.node.membership
         self.store = Store(platform.endpoints.state)
         self.cloud = Cloud(platform.endpoints.cloud)
-        self.mesh = m.Mesh(platform.mesh_addr, {peer.label: peer.addr for peer in platform.peers}, self.on_frames,
-                           poll)
+        self.mesh = m.Mesh(platform.mesh_addr, {peer.label: peer.addr for peer in platform.peers}, self.on_frames, poll)
         self.waiters: dict[object, list[curio.Event]] = {}  # submission or job -> who waits for it
         self.taking: dict[Machine, list[tuple[int, Callable[[Answer], None]]]] = {}  # reports not answered yet
         self.takes: deque[tuple[float, Machine]] = deque()  # until when their answers wait for grants
@@ -134,8 +132,15 @@
             await group.spawn(self.mesh.serve)
             for label in self.mesh.peers:
                 await group.spawn(self.mesh.send_to, label)
-            for loop in (self.keep_hold, self.keep_replica, self.keep_view, self.keep_records,
-                         self.keep_rounds, self.keep_types, self.keep_machines):
+            for loop in (
+                self.keep_hold,
+                self.keep_replica,
+                self.keep_view,
+                self.keep_records,
+                self.keep_rounds,
+                self.keep_types,
+                self.keep_machines,
+            ):
                 await group.spawn(self.forever, loop)
 
     async def forever(self, loop: Callable[[], Awaitable[None]]) -> None:
@@ -248,8 +253,11 @@
         self.ask_more()
 
     def ask_more(self) -> None:
-        while (len(self.asking) < c.ASK_WORKERS and self.membership.may_act(now())
-               and (machine := self.node.part.next_to_ask(now())) is not None):
+        while (
+            len(self.asking) < c.ASK_WORKERS
+            and self.membership.may_act(now())
+            and (machine := self.node.part.next_to_ask(now())) is not None
+        ):
             self.ask_worker(self.membership.mandate, *machine)
 
     def ask_worker(self, mandate: int, name: str, worker: str, tenure: int, again: bool = True) -> None:
@@ -429,8 +437,9 @@
             name = f"{self.platform.label}-{self.membership.mandate}-{self.rent_names}"
             try:
                 names = await self.cloud.rent(name, kind.type, kind.zone, kind.spot, count)
-                log.info("rent type=%s zone=%s spot=%s asked=%d got=%d", kind.type, kind.zone, kind.spot, count,
-                         len(names))
+                log.info(
+                    "rent type=%s zone=%s spot=%s asked=%d got=%d", kind.type, kind.zone, kind.spot, count, len(names)
+                )
                 leader.on_rented(kind, names, now())
                 if len(names) < count:
                     short = True
@@ -448,8 +457,9 @@
 
     # -- HTTP ------------------------------------------------------------------------
 
-    def handle(self, method: str, target: str, body: bytes,
-               reply: Callable[[Answer], None]) -> Answer | Awaitable[Answer] | None:
+    def handle(
+        self, method: str, target: str, body: bytes, reply: Callable[[Answer], None]
+    ) -> Answer | Awaitable[Answer] | None:
         path = target.split("?", 1)[0]
         if path == "/agent/beat":
             return self.on_beat(body, reply) if method == "POST" else _wrong_method("POST")
@@ -458,7 +468,7 @@
         if path == "/v1/jobs":
             return self.submit(body) if method == "POST" else _wrong_method("POST")
         if path.startswith("/v1/jobs/"):
-            job, _, action = path[len("/v1/jobs/"):].partition("/")
+            job, _, action = path[len("/v1/jobs/") :].partition("/")
             if action == "":
                 return self.status_now(job, reply) if method == "GET" else _wrong_method("GET")
             if action == "withdraw":
@@ -469,8 +479,9 @@
         standing = self.membership.standing(now())
         # Lapsed in an outage that all share it stays: it can tell of ended jobs, and is there when the store is. Not so
         # one that others may have replaced: users whose connections stay with it would be told nothing of any job.
-        overtaken = (any(ch.peer_mandate > self.membership.mandate for ch in self.node.channels.values())
-                     or self.membership.contact.alone(now()))
+        overtaken = any(
+            ch.peer_mandate > self.membership.mandate for ch in self.node.channels.values()
+        ) or self.membership.contact.alone(now())
         if not self.node.loaded or standing is Standing.OUTSIDE or (standing is Standing.LAPSED and overtaken):
             return later("not taking part")
         return 200, b'{"status":"ok"}', []
@@ -585,8 +596,9 @@
         if not placement.runnable(spec, self.node.types.values()):
             return "a task fits no allowed machine type"
         tasks = spec.tasks if spec.service else 1
-        if ((team.cpus_max > 0 and spec.cpus * tasks > team.cpus_max + 1e-9)
-                or (team.gpus_max > 0 and spec.gpus * tasks > team.gpus_max + 1e-9)):
+        if (team.cpus_max > 0 and spec.cpus * tasks > team.cpus_max + 1e-9) or (
+            team.gpus_max > 0 and spec.gpus * tasks > team.gpus_max + 1e-9
+        ):
             return "more than the team's limit"
         return ""
 
--- a/alderbridge/declared/__init__.py
+++ b/alderbridge/declared/__init__.py
@@ -13,5 +13,15 @@
 from .records import Head, Revision
 from .texts import KINDS, READERS, Declared, check_lines, load
 
-__all__ = ["KINDS", "READERS", "Declarations", "Declared", "Head", "Proposal", "Revision", "State", "check_lines",
-           "load"]
+__all__ = [
+    "KINDS",
+    "READERS",
+    "Declarations",
+    "Declared",
+    "Head",
+    "Proposal",
+    "Revision",
+    "State",
+    "check_lines",
+    "load",
+]
--- a/alderbridge/declared/declarations.py
+++ b/alderbridge/declared/declarations.py
@@ -108,8 +108,15 @@
 
     def _say(self, what: Declared | Head | None, state: str, cause: str = "", bad: bool = False) -> None:
         assert what is not None
-        log.log(logging.ERROR if bad else logging.INFO, "declaration=%s revision=%d digest=%s state=%s%s", self.kind,
-                what.revision, what.digest, state, f" cause={cause}" if cause else "")
+        log.log(
+            logging.ERROR if bad else logging.INFO,
+            "declaration=%s revision=%d digest=%s state=%s%s",
+            self.kind,
+            what.revision,
+            what.digest,
+            state,
+            f" cause={cause}" if cause else "",
+        )
 
     def look(self, now: float, wait_s: float) -> None:
         """After changes of the store have arrived."""
@@ -163,22 +170,28 @@
             known = compiled(self.kind, raw)
         return known
 
-    def due(self, membership: Membership, labels: list[str], now: float, wall: float, room: int,
-            value_bytes: int) -> Proposal | None:
+    def due(
+        self, membership: Membership, labels: list[str], now: float, wall: float, room: int, value_bytes: int
+    ) -> Proposal | None:
         self.look_at_clock(now)
         head, own = self.head, self.own
-        if own is not None and self.file in (State.READ, State.PROPOSED) and (
-                head is None or (head.before is None and head.revision < own.revision)):
+        if (
+            own is not None
+            and self.file in (State.READ, State.PROPOSED)
+            and (head is None or (head.before is None and head.revision < own.revision))
+        ):
             return self._due_revision(membership, labels, wall, room, value_bytes)
         if head is not None and self.kept is State.IN_FORCE and membership.leads(now):
             if head.before is not None or (self.stale and room > 1):
                 settled = Head(head.revision, head.digest, head.parts, head.at)
-                return Proposal(self.kind, {head_key(self.kind): self.stamp}, {head_key(self.kind): settled},
-                                self.stale[:room - 1])
+                return Proposal(
+                    self.kind, {head_key(self.kind): self.stamp}, {head_key(self.kind): settled}, self.stale[: room - 1]
+                )
         return None
 
-    def _due_revision(self, membership: Membership, labels: list[str], wall: float, room: int,
-                      value_bytes: int) -> Proposal | None:
+    def _due_revision(
+        self, membership: Membership, labels: list[str], wall: float, room: int, value_bytes: int
+    ) -> Proposal | None:
         """The texts that are not there yet, as many as have room; with the last of them, or after it, the head."""
         own, head = self.own, self.head
         assert own is not None
@@ -195,13 +208,16 @@
         # Nobody drops a text but with a change of the head: what the replica has at this stamp is there.
         proposal = Proposal(self.kind, {head_key(self.kind): self.stamp})
         most = min(room, max(1, c.MAX_BODY * 3 // 4 // value_bytes))
-        left = [(key, piece) for key, piece in zip(keys, pieces(own.text, last.parts), strict=True)
-                if key not in self.pieces]
+        left = [
+            (key, piece)
+            for key, piece in zip(keys, pieces(own.text, last.parts), strict=True)
+            if key not in self.pieces
+        ]
         proposal.puts |= left[:most]
         if len(left) < most:
             before = head.last if head is not None else Revision(0)
             proposal.puts[head_key(self.kind)] = Head(last.revision, last.digest, last.parts, wall, before)
-            proposal.drops = self._unnamed([before, last])[:max(0, room - len(proposal.puts))]
+            proposal.drops = self._unnamed([before, last])[: max(0, room - len(proposal.puts))]
         return proposal
 
     def _unnamed(self, named: list[Revision]) -> list[str]:
@@ -229,7 +245,7 @@
 
     def apply(self, key: str, data: bytes | None, stamp: int) -> None:
         """A change of the store, in order; ``data`` None: dropped. ``look`` follows when all of them are in."""
-        kind, _, piece = key[len(DECLARED):].partition("/")
+        kind, _, piece = key[len(DECLARED) :].partition("/")
         if kind not in KINDS:
             return  # of a later version
         declaration = self.kinds.get(kind)
--- a/alderbridge/declared/texts.py
+++ b/alderbridge/declared/texts.py
@@ -73,8 +73,9 @@
             raise ConfigError(f"{path}: [{SECTION}] {key}: no such setting")
     text = parser.get(SECTION, "revision", fallback="")
     if not (text.isascii() and text.isdigit() and len(text) <= 15 and int(text) >= 1):
-        raise ConfigError(f"{path}: [{SECTION}] revision: expected a whole number from 1 with no more than 15 digits, "
-                          f"got {text!r}")
+        raise ConfigError(
+            f"{path}: [{SECTION}] revision: expected a whole number from 1 with no more than 15 digits, got {text!r}"
+        )
     return int(text)
 
 
--- a/alderbridge/dependencies.py
+++ b/alderbridge/dependencies.py
@@ -87,8 +87,9 @@
             node = self.nodes[job] = _Node(due=self.never, own=self.never)
         return node
 
-    def add(self, spec: JobSpec, at: float, needs: Iterable[str], over: Callable[[str], tuple[str, float] | None]
-            ) -> None:
+    def add(
+        self, spec: JobSpec, at: float, needs: Iterable[str], over: Callable[[str], tuple[str, float] | None]
+    ) -> None:
         """An active job and what it needs; ``over`` tells how and when a job ended, if it has."""
         known = self.nodes.get(spec.id)
         if known is not None and known.known:
--- a/alderbridge/hours/declaration.py
+++ b/alderbridge/hours/declaration.py
@@ -107,8 +107,10 @@
     for one in classes:
         if one.calendar and one.calendar not in calendars:
             faults.append(f"{path}: [class {one.name}] calendar: no calendar {one.calendar!r} in this file")
-    faults += [f"{path}: [calendar {name}] {calendars[name].of} of: rests on itself: {' > '.join(ring)}"
-               for name, ring in _rings(calendars)]
+    faults += [
+        f"{path}: [calendar {name}] {calendars[name].of} of: rests on itself: {' > '.join(ring)}"
+        for name, ring in _rings(calendars)
+    ]
     if faults:
         raise ConfigError("\n".join(faults))
     return Text(list(calendars.values()), classes)
@@ -124,7 +126,7 @@
             name, depth = todo.pop()
             del way[depth:]
             if name in way:
-                ring = [*way[way.index(name):], name]
+                ring = [*way[way.index(name) :], name]
                 sound.update(ring)
                 yield name, ring
             elif name in calendars and name not in sound:
@@ -195,12 +197,16 @@
         calendar = self.take("calendar", _name, "")
         if not calendar:
             self.fault("calendar", "expected the name of a calendar")
-        result = Class(owner, workload, calendar,
-                       self.take("end before closing", _one_of({"yes": True, "no": False}), False),
-                       self.take("run factor", _number(0.1, 100.0), c.RUN_SAFETY),
-                       self.take("at closing", _one_of({"stop": True, "run on": False}), False),
-                       self.take("warm up", _number(0.0, 3600.0), 0.0),
-                       self.take("spread", _number(0.0, 3600.0), c.OPENING_SPREAD_S))
+        result = Class(
+            owner,
+            workload,
+            calendar,
+            self.take("end before closing", _one_of({"yes": True, "no": False}), False),
+            self.take("run factor", _number(0.1, 100.0), c.RUN_SAFETY),
+            self.take("at closing", _one_of({"stop": True, "run on": False}), False),
+            self.take("warm up", _number(0.0, 3600.0), 0.0),
+            self.take("spread", _number(0.0, 3600.0), c.OPENING_SPREAD_S),
+        )
         for key in self.items:
             self.fault(key, "no such setting of a class")
         return result
@@ -222,6 +228,7 @@
         if text not in words:
             raise _Fault(f"expected {' or '.join(words)}")
         return words[text]
+
     return read
 
 
@@ -234,6 +241,7 @@
         if not low <= number <= high:
             raise _Fault(f"expected a number from {low:g} to {high:g}")
         return number
+
     return read
 
 
@@ -306,8 +314,10 @@
     for piece in map(str.strip, key.split(",")):
         begin, _, end = piece.partition("-")
         if begin not in DAYS or (end or begin) not in DAYS:
-            raise _Fault("expected zone, holidays, holiday years, on holidays, weekdays such as mon-fri, "
-                         "a date such as 2026-12-24, or 'all of' or 'any of'")
+            raise _Fault(
+                "expected zone, holidays, holiday years, on holidays, weekdays such as mon-fri, "
+                "a date such as 2026-12-24, or 'all of' or 'any of'"
+            )
         first, last = DAYS.index(begin), DAYS.index(end or begin)
         result += [(first + n) % 7 for n in range((last - first) % 7 + 1)]
     return result, True
--- a/alderbridge/hours/gate.py
+++ b/alderbridge/hours/gate.py
@@ -29,8 +29,9 @@
 
 
 class Gate:
-    def __init__(self, texts: Sequence[Text], clock: Callable[[], float], skew_s: float,
-                 rank: Callable[[JobSpec], int]) -> None:
+    def __init__(
+        self, texts: Sequence[Text], clock: Callable[[], float], skew_s: float, rank: Callable[[JobSpec], int]
+    ) -> None:
         """``clock``: the time of day, right to within ``skew_s``. ``rank``: of the jobs that need a job, or -1."""
         self.texts, self.tables = list(texts), Timetables(texts)
         self.clock, self.skew_s, self.rank = clock, skew_s, rank
@@ -38,8 +39,9 @@
             for calendar in text.calendars:
                 left = calendar.holidays[-1] - clock() / DAY if calendar.holidays else NEVER
                 if left < c.HOLIDAYS_SHORT_DAYS:
-                    log.warning("calendar=%s state=running out cause=its last holiday is in %d days", calendar.name,
-                                left)
+                    log.warning(
+                        "calendar=%s state=running out cause=its last holiday is in %d days", calendar.name, left
+                    )
 
     def look(self, spec: JobSpec) -> Look:
         return self.tables.look(spec, self.clock(), self.skew_s)
@@ -72,8 +74,11 @@
             else:
                 was_closed = job.opens_at != 0.0
                 if was_closed:
-                    log.info("job=%s state=open cause=calendar %s", job.spec.id,
-                             look.rule.calendar if look.rule is not None else "taken back")
+                    log.info(
+                        "job=%s state=open cause=calendar %s",
+                        job.spec.id,
+                        look.rule.calendar if look.rule is not None else "taken back",
+                    )
                     job.reopen()
                 opening = look.opened_at or (wall if was_closed else 0.0)
                 if opening == job.opened_at or (not was_closed and look.opened_at == 0.0):
@@ -89,9 +94,13 @@
 
     def _spread(self, group: list[Job], opening: float, since: float, spread_s: float) -> None:
         """Turns after an opening at ``since`` by the steady clock."""
+
         def need(job: Job) -> tuple[int, float, float]:
-            return (-max(self.rank(job.spec), job.spec.rank),
-                    job.submitted + job.spec.due_s if job.spec.due_s is not None else math.inf, job.ready_since)
+            return (
+                -max(self.rank(job.spec), job.spec.rank),
+                job.submitted + job.spec.due_s if job.spec.due_s is not None else math.inf,
+                job.ready_since,
+            )
 
         total = sum(job.waiting for job in group)
         pace = max(total / spread_s, c.OPENING_PACE) if spread_s else math.inf
@@ -104,8 +113,21 @@
     def _say_closed(job: Job, look: Look) -> None:
         spec, rule = job.spec, look.rule
         if look.opens_at == NEVER:
-            log.error("job=%s state=closed class=%s/%s cause=calendar %s never opens for it within %d days, estimate "
-                      "%g s", spec.id, spec.team, spec.job_class, rule.calendar, c.HOURS_AHEAD_DAYS, spec.estimate_s)
+            log.error(
+                "job=%s state=closed class=%s/%s cause=calendar %s never opens for it within %d days, estimate %g s",
+                spec.id,
+                spec.team,
+                spec.job_class,
+                rule.calendar,
+                c.HOURS_AHEAD_DAYS,
+                spec.estimate_s,
+            )
         else:
-            log.info("job=%s state=closed class=%s/%s cause=calendar %s opens at %s", spec.id, spec.team,
-                     spec.job_class, rule.calendar, shown(look.opens_at))
+            log.info(
+                "job=%s state=closed class=%s/%s cause=calendar %s opens at %s",
+                spec.id,
+                spec.team,
+                spec.job_class,
+                rule.calendar,
+                shown(look.opens_at),
+            )
--- a/alderbridge/hours/timetable.py
+++ b/alderbridge/hours/timetable.py
@@ -71,8 +71,9 @@
         self.dates = dict(calendar.dates)
         self.holidays = frozenset(calendar.holidays)
         if not calendar.of and self.zone is None:
-            log.error("calendar=%s state=closed cause=no zone %r in this controller's tzdata", calendar.name,
-                      calendar.zone)
+            log.error(
+                "calendar=%s state=closed cause=no zone %r in this controller's tzdata", calendar.name, calendar.zone
+            )
 
     def day(self, number: int) -> Periods:
         known = self.days.get(number)
@@ -80,9 +81,13 @@
             if len(self.days) > 2 * c.HOURS_AHEAD_DAYS:
                 self.days.clear()
             of = self.calendar.of
-            known = self.days[number] = (_all([part.day(number) for part in self.parts]) if of == "all" else
-                                         _any([period for part in self.parts for period in part.day(number)]) if of
-                                         else self._own(number))
+            known = self.days[number] = (
+                _all([part.day(number) for part in self.parts])
+                if of == "all"
+                else _any([period for part in self.parts for period in part.day(number)])
+                if of
+                else self._own(number)
+            )
         return known
 
     def _own(self, number: int) -> Periods:
@@ -92,8 +97,10 @@
         for begin, end, offset in self._stretches(number * DAY):
             for day in range((begin + offset) // DAY - 1, (end + offset - 1) // DAY + 1):
                 for first, last in self._spans(day):
-                    since, until = (max(begin, day * DAY + first * 60 - offset),
-                                    min(end, day * DAY + last * 60 - offset))
+                    since, until = (
+                        max(begin, day * DAY + first * 60 - offset),
+                        min(end, day * DAY + last * 60 - offset),
+                    )
                     if since < until:
                         found.append((since, until))
         return _any(found)
@@ -201,8 +208,9 @@
             known = self.looks[key] = self._look(rule, run_s, spec.save_s if stops else None, wall, skew_s)
         return known[2]
 
-    def _look(self, rule: Class, run_s: float, save_s: float | None, wall: float,
-              skew_s: float) -> tuple[float, float, Look]:
+    def _look(
+        self, rule: Class, run_s: float, save_s: float | None, wall: float, skew_s: float
+    ) -> tuple[float, float, Look]:
         """The look, and from when until when it holds."""
         closes_at, stop_at = 0.0, NEVER if save_s is None else 0.0
         fresh = wall + DAY  # nothing is looked up for longer than that: what never opens may come into sight
@@ -238,11 +246,17 @@
         if not may_start:
             at = self._opening(spec, wall, skew_s)
         rule = next((look.rule for look in looks if not look.may_start), None) or next(
-            (look.rule for look in looks if look.rule is not None), None)
-        return Look(may_start, at, min((look.closes_at for look in looks), default=NEVER),
-                    not may_start and all(look.may_start or look.warm for look in looks),
-                    min((look.stop_at for look in looks), default=NEVER),
-                    max((look.opened_at for look in looks), default=0.0), rule)
+            (look.rule for look in looks if look.rule is not None), None
+        )
+        return Look(
+            may_start,
+            at,
+            min((look.closes_at for look in looks), default=NEVER),
+            not may_start and all(look.may_start or look.warm for look in looks),
+            min((look.stop_at for look in looks), default=NEVER),
+            max((look.opened_at for look in looks), default=0.0),
+            rule,
+        )
 
     def _opening(self, spec: JobSpec, wall: float, skew_s: float) -> float:
         """When all are open next: each in turn says how long it is closed at least."""
--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -49,8 +49,12 @@
     DONE = "done"
 
 
-_LIVE = {"fetching": TaskState.FETCHING, "waiting": TaskState.FETCHING, "running": TaskState.RUNNING,
-         "saving": TaskState.SAVING}
+_LIVE = {
+    "fetching": TaskState.FETCHING,
+    "waiting": TaskState.FETCHING,
+    "running": TaskState.RUNNING,
+    "saving": TaskState.SAVING,
+}
 # by verdict: whether it clears, or halts
 _CLEARS = tuple(one in (Verdict.CLEAR, Verdict.FREE_CLEAR, Verdict.FAIL_CLEAR) for one in Verdict)
 _HALTS = tuple(one in (Verdict.HALT, Verdict.ADOPT_HALT, Verdict.PROGRESS_HALT) for one in Verdict)
@@ -306,8 +310,11 @@
     def release(self, since: float, ready_at: float) -> None:
         """All that it needs is done in the store, ``since`` then its times count."""
         if self.waits:
-            log.info("job=%s state=ready cause=all it needs is done, %.1f s after its submission", self.spec.id,
-                     since - self.submitted)
+            log.info(
+                "job=%s state=ready cause=all it needs is done, %.1f s after its submission",
+                self.spec.id,
+                since - self.submitted,
+            )
         self.waits = False
         self.arrived = self.ready_since = max(self.submitted, since)
         self.ready_at, self.opened_at = ready_at, 0.0
@@ -524,8 +531,13 @@
         for job in self.jobs.values():
             # What waits for other jobs holds nothing of the limit, and nothing of it is on a machine. What waits for
             # its hours asks for nothing either; what of it still runs is in ``used``.
-            if (job.state is JobState.ACTIVE and not job.waits and job.spec.team in bound
-                    and job.spec.id not in self.closed and (count := job.spec.tasks - job.next + len(job.again))):
+            if (
+                job.state is JobState.ACTIVE
+                and not job.waits
+                and job.spec.team in bound
+                and job.spec.id not in self.closed
+                and (count := job.spec.tasks - job.next + len(job.again))
+            ):
                 result.add(job.spec, count)
         for team, (cpus, gpus) in used.items():
             if team in bound:
@@ -539,9 +551,15 @@
 
     # -- queue and grants --------------------------------------------------
 
-    def rows(self, now: float, due_in: Callable[[Job, float, bool], tuple[float, bool]],
-             run_time: Callable[[JobSpec], float], rank: Callable[[JobSpec], int],
-             guaranteed_jobs: Container[str], used: dict[str, tuple[float, float]]) -> list[QueueRow]:
+    def rows(
+        self,
+        now: float,
+        due_in: Callable[[Job, float, bool], tuple[float, bool]],
+        run_time: Callable[[JobSpec], float],
+        rank: Callable[[JobSpec], int],
+        guaranteed_jobs: Container[str],
+        used: dict[str, tuple[float, float]],
+    ) -> list[QueueRow]:
         rows = []
         if self.hours is not None:
             self.closed = self.hours.turns(self.jobs.values(), now)
@@ -564,10 +582,24 @@
             # Before its turn nothing of it is on offer. A slot that is kept for it is taken until its run ends.
             ahead = max(0.0, job.arrived - now)
             offer, turn = self._turn(job, now, offer if fits and ahead <= 0 else 0, late)
-            rows.append(QueueRow(spec.id, waiting, offer, due, run_time(spec) + ahead, zone, now - job.arrived, late,
-                                 guaranteed, rank(spec), inherited, turn))
+            rows.append(
+                QueueRow(
+                    spec.id,
+                    waiting,
+                    offer,
+                    due,
+                    run_time(spec) + ahead,
+                    zone,
+                    now - job.arrived,
+                    late,
+                    guaranteed,
+                    rank(spec),
+                    inherited,
+                    turn,
+                )
+            )
         rows.sort(key=lambda row: row.due_in_s)
-        return rows[:c.QUEUE_ROWS]
+        return rows[: c.QUEUE_ROWS]
 
     @staticmethod
     def _turn(job: Job, now: float, offer: int, late: bool) -> tuple[int, int]:
@@ -640,8 +672,12 @@
             if state is not None:
                 job = jobs.get(name)
                 run = job.runs.get(index) if job is not None else None
-                if (run is not None and run.attempt == task.attempt and run.machine == machine
-                        and job.state is JobState.ACTIVE):
+                if (
+                    run is not None
+                    and run.attempt == task.attempt
+                    and run.machine == machine
+                    and job.state is JobState.ACTIVE
+                ):
                     job.progress(index, state)  # what nearly all tell: live, and known HERE; see the table
                     continue
             self._seen_task(label, seen, task, now)
--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -56,8 +56,9 @@
 
 
 class Leader:
-    def __init__(self, teams: list[Team], zones: list[str], tuning: Tuning, replica: Replica, lag_s: float,
-                 lease_s: float) -> None:
+    def __init__(
+        self, teams: list[Team], zones: list[str], tuning: Tuning, replica: Replica, lag_s: float, lease_s: float
+    ) -> None:
         self.teams = [team for team in teams if team.cpus_max > 0 or team.gpus_max > 0]
         self.tuning = tuning
         self.replica = replica
@@ -123,8 +124,9 @@
         for host in hosts:
             rental = self.rentals.get(host.id)
             if rental is None:
-                rental = self._found(host.id, Kind(host.type, host.zone, host.spot), now - host.held_s,
-                                     RentalState.BOOTING)
+                rental = self._found(
+                    host.id, Kind(host.type, host.zone, host.spot), now - host.held_s, RentalState.BOOTING
+                )
             rental.listed = True
             rental.rented_at = min(rental.rented_at, now - host.held_s)
             rental.failed = rental.failed or host.status == "failed"
@@ -141,8 +143,11 @@
 
     def ready(self, now: float) -> bool:
         """Every member has reported under this view, and the cloud has been asked."""
-        return (bool(self.market.types) and all(m in self.queues and m in self.rooms for m in self.members)
-                and (self.listed or now - self.since > 2 * self.lag_s))
+        return (
+            bool(self.market.types)
+            and all(m in self.queues and m in self.rooms for m in self.members)
+            and (self.listed or now - self.since > 2 * self.lag_s)
+        )
 
     def demands(self, now: float) -> list[Demand]:
         """What waits, soonest deadline first.
@@ -168,8 +173,11 @@
         """Kinds of which a machine is there, on its way or may be rented; None where nothing was lately refused."""
         if not any(until > now for until in self.market.refused_until.values()):
             return None
-        there = {rental.kind for rental in self.rentals.values()
-                 if rental.state in (RentalState.BOOTING, RentalState.UP) and rental.kind.type in self.market.types}
+        there = {
+            rental.kind
+            for rental in self.rentals.values()
+            if rental.state in (RentalState.BOOTING, RentalState.UP) and rental.kind.type in self.market.types
+        }
         return there | set(self.market.kinds(now))
 
     def _order(self, row: QueueRow, spec: JobSpec, kinds: set[Kind] | None) -> tuple:
@@ -179,8 +187,11 @@
         cloud refuses what it needs, while others of the team wait beside room (test_a_team_does_not_stand_still_...).
         """
         out_of_reach = kinds is not None and not any(
-            row.zone in (None, kind.zone) and placement.allowed(spec, kind.type, kind.zone, kind.spot)
-            and placement.fits(spec, self.market.room(kind)) for kind in kinds)
+            row.zone in (None, kind.zone)
+            and placement.allowed(spec, kind.type, kind.zone, kind.spot)
+            and placement.fits(spec, self.market.room(kind))
+            for kind in kinds
+        )
         return out_of_reach, placement.order(row, spec, row.due_in_s)
 
     def _within_limits(self, demands: list[Demand]) -> list[Demand]:
@@ -264,7 +275,7 @@
         if now - self.hard_at >= c.HARD_CHECK_S:
             self.hard_at = now
             hard = policy.hard_check(queue, self.market, now, booting, below_cap)
-            wanted += hard[len(wanted):]
+            wanted += hard[len(wanted) :]
         decision.rent = [(kind, min(count, c.RENT_BATCH)) for kind, count in Counter(wanted).items()]
         return decision
 
@@ -278,11 +289,27 @@
         self.for_proof = set(self.hold_back.for_proof(unheard, len(rows), inherited))
         if knowledge is not before or (knowledge is not Knowledge.SQUARED and now - self.told_at >= c.LEADER_ROUND_S):
             self.told_at = now
-            log.info("fleet state=%s squared %d of %d, silent %d, inherited %d tasks, held back: %d returns",
-                     knowledge.value, len(rows) - len(unheard), len(rows), silent, inherited, self.hold_back.returns)
-
-    def _up(self, name: str, rental: Rental, row: RoomRow, at: float, now: float, decision: Decision,
-            resources: list[Resource], idle: list[tuple[Resource, str]]) -> None:
+            log.info(
+                "fleet state=%s squared %d of %d, silent %d, inherited %d tasks, held back: %d returns",
+                knowledge.value,
+                len(rows) - len(unheard),
+                len(rows),
+                silent,
+                inherited,
+                self.hold_back.returns,
+            )
+
+    def _up(
+        self,
+        name: str,
+        rental: Rental,
+        row: RoomRow,
+        at: float,
+        now: float,
+        decision: Decision,
+        resources: list[Resource],
+        idle: list[tuple[Resource, str]],
+    ) -> None:
         silent = row.silent_s + (now - at)
         fresh = now - at < 3 * c.LEADER_ROUND_S
         # A return is proof at once that nothing is left there; a lapsed lease takes longer. The
@@ -307,8 +334,15 @@
         elif row.state == "expected" and rental.kind.type in self.market.types:
             resources.append(Resource(rental.kind, self.market.room(rental.kind)))
 
-    def _booting(self, name: str, rental: Rental, now: float, decision: Decision,
-                 resources: list[Resource], booting: list[Resource]) -> None:
+    def _booting(
+        self,
+        name: str,
+        rental: Rental,
+        now: float,
+        decision: Decision,
+        resources: list[Resource],
+        booting: list[Resource],
+    ) -> None:
         kind = self.market.types.get(rental.kind.type)
         if kind is None:
             return
--- a/alderbridge/lending/declaration.py
+++ b/alderbridge/lending/declaration.py
@@ -13,11 +13,18 @@
 # section -> key -> (field, default, lowest, highest, whole number); lengths of time in s
 _KEYS: dict[str, dict[str, tuple[str, float, float, float, bool]]] = {
     "serve": {},
-    "lend": {"least run": ("least_run_s", 20.0, 0.0, 86_400.0, False), "most stops": ("most_stops", 3, 0, 1000, True),
-             "waits at most": ("waits_at_most_s", 900.0, 0.0, 864_000.0, False)},
+    "lend": {
+        "least run": ("least_run_s", 20.0, 0.0, 86_400.0, False),
+        "most stops": ("most_stops", 3, 0, 1000, True),
+        "waits at most": ("waits_at_most_s", 900.0, 0.0, 864_000.0, False),
+    },
     "reserve": {"gpus": ("gpus", 0.0, 0.0, 100_000.0, False)},
-    "pace": {"gpus a minute": ("gpus_a_minute", 64, 0, 100_000, True),
-             "gpus at once": ("gpus_at_once", 32, 0, 100_000, True), "keep": ("keep_s", 30.0, 0.0, 86_400.0, False)}}
+    "pace": {
+        "gpus a minute": ("gpus_a_minute", 64, 0, 100_000, True),
+        "gpus at once": ("gpus_at_once", 32, 0, 100_000, True),
+        "keep": ("keep_s", 30.0, 0.0, 86_400.0, False),
+    },
+}
 
 
 class Serve(msgspec.Struct, frozen=True):
@@ -81,17 +88,20 @@
         else:
             good = word == "reserve" and name and "/" not in name and " " not in name or section == "pace"
         if not good:
-            raise ConfigError(f"{path}: [{section}]: expected [serve OWNER/WORKLOAD], [lend OWNER/WORKLOAD], "
-                              f"[reserve TEAM] or [pace]")
+            raise ConfigError(
+                f"{path}: [{section}]: expected [serve OWNER/WORKLOAD], [lend OWNER/WORKLOAD], [reserve TEAM] or [pace]"
+            )
         if word in ("serve", "lend") and any((one.owner, one.workload) == (owner, workload) for one in [*serve, *lend]):
             raise ConfigError(f"{path}: [{section}]: declared before; a class serves or lends, once")
         values = dict(parser.items(section))
         for key in values:
             if key not in _KEYS[word]:
-                raise ConfigError(f"{path}: [{section}] {key}: no such setting; "
-                                  f"there are {', '.join(_KEYS[word]) or 'none here'}")
-        numbers = {field: _number(path, section, key, values.get(key), *rest)
-                   for key, (field, *rest) in _KEYS[word].items()}
+                raise ConfigError(
+                    f"{path}: [{section}] {key}: no such setting; there are {', '.join(_KEYS[word]) or 'none here'}"
+                )
+        numbers = {
+            field: _number(path, section, key, values.get(key), *rest) for key, (field, *rest) in _KEYS[word].items()
+        }
         if word == "serve":
             serve.append(Serve(owner, workload))
         elif word == "lend":
@@ -108,8 +118,9 @@
     return Text(serve, lend, reserve, **pace)
 
 
-def _number(path: str, section: str, key: str, text: str | None, default: float, low: float, high: float,
-            whole: bool) -> float:
+def _number(
+    path: str, section: str, key: str, text: str | None, default: float, low: float, high: float, whole: bool
+) -> float:
     try:
         number = default if text is None else int(text) if whole else float(text)
     except ValueError:
@@ -122,14 +133,22 @@
 
 def check_lines(text: Text) -> list[str]:
     """Who serves, who lends and how fast GPUs come back, for ``--check``."""
-    lines = [f"serve {one.owner}/{one.workload}: replicas with GPUs get lent ones back, within the team's guarantee"
-             for one in text.serve]
+    lines = [
+        f"serve {one.owner}/{one.workload}: replicas with GPUs get lent ones back, within the team's guarantee"
+        for one in text.serve
+    ]
     for one in text.lend:
-        how = (f"after {one.least_run_s:g} s, {one.most_stops} times a task, until {one.waits_at_most_s:g} s after "
-               f"its job's first stop" if one.most_stops else "never")
+        how = (
+            f"after {one.least_run_s:g} s, {one.most_stops} times a task, until {one.waits_at_most_s:g} s after "
+            f"its job's first stop"
+            if one.most_stops
+            else "never"
+        )
         lines.append(f"lend {one.owner}/{one.workload}: stopped for replicas {how}")
     lines += [f"reserve {team}: {gpus:g} GPUs are not lent, where they are free" for team, gpus in text.reserve.items()]
     if text.serve:
-        lines.append(f"pace: {text.gpus_a_minute} GPUs a minute and {text.gpus_at_once} at once come back for a team; "
-                     f"what replicas used is not lent again for {text.keep_s:g} s")
+        lines.append(
+            f"pace: {text.gpus_a_minute} GPUs a minute and {text.gpus_at_once} at once come back for a team; "
+            f"what replicas used is not lent again for {text.keep_s:g} s"
+        )
     return lines
--- a/alderbridge/lending/lender.py
+++ b/alderbridge/lending/lender.py
@@ -52,8 +52,13 @@
 class Lender:
     reason = REASON
 
-    def __init__(self, texts: Sequence[Text], teams: Iterable[Team], types: Mapping[str, MachineType],
-                 before: Lender | None = None) -> None:
+    def __init__(
+        self,
+        texts: Sequence[Text],
+        teams: Iterable[Team],
+        types: Mapping[str, MachineType],
+        before: Lender | None = None,
+    ) -> None:
         """``texts``: in force, two at once while one replaces the other: then the stricter. ``before``: until now."""
         self.texts = list(texts)
         self.limits = {team.name: team for team in teams}
@@ -84,8 +89,10 @@
         key = (spec.team, spec.job_class, spec.service, spec.gpus > 0)
         if key not in self._known:
             lends = [text.lends(spec) for text in self.texts]
-            self._known[key] = (bool(self.texts) and all(text.serves(spec) for text in self.texts),
-                                None if not lends or None in lends else lends)
+            self._known[key] = (
+                bool(self.texts) and all(text.serves(spec) for text in self.texts),
+                None if not lends or None in lends else lends,
+            )
         return self._known[key]
 
     def serves(self, spec: JobSpec) -> bool:
@@ -133,12 +140,22 @@
         limit, (cpus, gpus) = self.limits.get(spec.team), used.get(spec.team, (0.0, 0.0))
         if limit is None:
             return math.inf
-        return min((math.floor((most - have) / each + 1e-9) for most, have, each in
-                    ((limit.cpus_max, cpus, spec.cpus), (limit.gpus_max, gpus, spec.gpus)) if most > 0 and each > 0),
-                   default=math.inf)
-
-    def needs(self, services: Iterable[Service], resources: Iterable[Resource],
-              used: Mapping[str, tuple[float, float]], promised: Mapping[str, int]) -> list[Need]:
+        return min(
+            (
+                math.floor((most - have) / each + 1e-9)
+                for most, have, each in ((limit.cpus_max, cpus, spec.cpus), (limit.gpus_max, gpus, spec.gpus))
+                if most > 0 and each > 0
+            ),
+            default=math.inf,
+        )
+
+    def needs(
+        self,
+        services: Iterable[Service],
+        resources: Iterable[Resource],
+        used: Mapping[str, tuple[float, float]],
+        promised: Mapping[str, int],
+    ) -> list[Need]:
         """Replicas that nothing else serves in time, in the order of placement.
 
         ``resources``: machines without a claim, booting ones as room that comes. ``used``: what each team's tasks
@@ -187,8 +204,9 @@
             room = tuple(free[i] + sum(end[i + 1] for end in coming) for i in range(3))
             count = min(fits(spec, room), most - found, self._quota(spec, here, kind.zone))
             if count > 0:
-                entry[1] = tuple(have - count * each for have, each in
-                                 zip(free, (spec.cpus, spec.memory_gb, spec.gpus), strict=True))
+                entry[1] = tuple(
+                    have - count * each for have, each in zip(free, (spec.cpus, spec.memory_gb, spec.gpus), strict=True)
+                )
                 here[kind.zone] += count
                 found += count
         return found
@@ -226,8 +244,18 @@
             spec = record.spec
             if record.state is JobState.ACTIVE and spec is not None and self.serves(spec) and not spec.needs:
                 row = rows.get(job) or QueueRow(job, 0, 0, math.inf, 0.0, None, 0.0, False, False)
-                result.append(Service(spec, max(0, spec.tasks - row.waiting), row.waiting, row.offer, row.due_in_s,
-                                      row.zone, row.guaranteed, (*order(row, spec, row.due_in_s), job)))
+                result.append(
+                    Service(
+                        spec,
+                        max(0, spec.tasks - row.waiting),
+                        row.waiting,
+                        row.offer,
+                        row.due_in_s,
+                        row.zone,
+                        row.guaranteed,
+                        (*order(row, spec, row.due_in_s), job),
+                    )
+                )
         return result
 
     def look(self, desk: Desk, now: float) -> list[Need]:
@@ -238,13 +266,15 @@
         self.stopping = Counter()
         for machine, claim in self.held.items():
             gone = len(claim.victims) - desk.victims_left(machine, claim)
-            self.stopping[claim.team] += sum(spec.gpus for job, _, _ in claim.victims[gone:]
-                                             if (spec := self.specs[job]) is not None)
+            self.stopping[claim.team] += sum(
+                spec.gpus for job, _, _ in claim.victims[gone:] if (spec := self.specs[job]) is not None
+            )
         services = self.services(desk)
         self.used = self.use(services)
         self.peaks.see(self.wish(services), now)
-        self.lent = Counter({job: count for job, count in promised.items() if any(
-            claim.job == job for claim in self.held.values())})
+        self.lent = Counter(
+            {job: count for job, count in promised.items() if any(claim.job == job for claim in self.held.values())}
+        )
         if not any(one.waiting for one in services):
             self.since = {}
             return []
@@ -274,12 +304,17 @@
 
     def keep(self, desk: Desk, now: float) -> dict[str, float]:
         """Free GPUs that lending work leaves alone now, by machine."""
-        gpus = sum(self.peaks.gpus(team, self.reserve(team), self._guarantee(team), self.used[team], self.keep_s, now)
-                   for team in {*self.peaks.peaks, *(team for text in self.texts for team in text.reserve)})
+        gpus = sum(
+            self.peaks.gpus(team, self.reserve(team), self._guarantee(team), self.used[team], self.keep_s, now)
+            for team in {*self.peaks.peaks, *(team for text in self.texts for team in text.reserve)}
+        )
         if gpus <= 0:
             return {}
-        images = {spec.image for job, (record, _) in desk.leader.replica.active.items()
-                  if (spec := record.spec) is not None and self.serves(spec)}
+        images = {
+            spec.image
+            for job, (record, _) in desk.leader.replica.active.items()
+            if (spec := record.spec) is not None and self.serves(spec)
+        }
         machines = []
         for room, _ in desk.leader.rooms.values():
             for row in room.rows:
@@ -290,6 +325,7 @@
 
     def leaving(self, gpus: float, elsewhere: Callable[[Offer], int]) -> Callable[[Offer], int]:
         """``elsewhere`` for a machine on which lending work may take only so many GPUs."""
+
         def result(offer: Offer) -> int:
             nonlocal gpus
             if self.lends(offer.spec) is None:
@@ -297,6 +333,7 @@
             most = max(0, min(offer.left, int(gpus / offer.spec.gpus + 1e-9)))
             gpus -= most * offer.spec.gpus  # if it takes fewer, the rest is for the next report
             return max(elsewhere(offer), offer.left - most)
+
         return result
 
     # -- pace --------------------------------------------------------------------
@@ -339,8 +376,9 @@
         kind = self.types.get(held.kind.type)
         return kind.gpus if kind is not None else 0.0
 
-    def choose(self, needs: Iterable[Need], machines: Sequence[Held], budget: Budget, wall: float, most: int
-               ) -> list[Group]:
+    def choose(
+        self, needs: Iterable[Need], machines: Sequence[Held], budget: Budget, wall: float, most: int
+    ) -> list[Group]:
         """Claims for the needs; see ``claims.choose``."""
         self.pay(self.held, self.specs, wall)
         self._begin(machines)
@@ -357,8 +395,9 @@
                     break
                 self.need = need._replace(zone=zone, count=min(need.count - served, most_there))
                 here = [one for one in machines if one.machine not in taken and zone in (None, one.kind.zone)]
-                found = claims.choose([self.need], here, self.allowed, self.cost, budget, wall, self.take, self.place,
-                                      most)
+                found = claims.choose(
+                    [self.need], here, self.allowed, self.cost, budget, wall, self.take, self.place, most
+                )
                 for group in found:
                     taken.update(group)
                     served += sum(claim.count for claim in group.values())
@@ -374,8 +413,11 @@
         cached = Counter(self.zone_of[name] for name, site in self.sites.items() if spec.image in site.images)
         lent = Counter(self.zone_of[name] for name in self.where.values())
         zones = sorted(set(lent), key=lambda zone: (here[zone], -cached[zone], -lent[zone], zone))
-        return [(zone, quota) for zone in zones if need.zone in (None, zone)
-                and (quota := self._quota(spec, here, zone)) > 0]
+        return [
+            (zone, quota)
+            for zone in zones
+            if need.zone in (None, zone) and (quota := self._quota(spec, here, zone)) > 0
+        ]
 
     def allowed(self, need: Need, victim: Victim) -> bool:
         spec, team = victim.spec, need.spec.team
@@ -387,14 +429,17 @@
             return False
         if not claims.allowed(need.spec, need.guaranteed, spec, beyond):
             return False
-        return all(victim.ran_s >= one.least_run_s and victim.stops < one.most_stops
-                   and victim.since_stop_s <= one.waits_at_most_s for one in lends)
+        return all(
+            victim.ran_s >= one.least_run_s
+            and victim.stops < one.most_stops
+            and victim.since_stop_s <= one.waits_at_most_s
+            for one in lends
+        )
 
     def _left(self, team: str) -> float:
         if team not in self.left:
             spent = sum(gpus for _, other, gpus in self.paid if other == team)
-            self.left[team] = min(self._pace("gpus_a_minute") - spent,
-                                  self._pace("gpus_at_once") - self.stopping[team])
+            self.left[team] = min(self._pace("gpus_a_minute") - spent, self._pace("gpus_at_once") - self.stopping[team])
         return self.left[team]
 
     def take(self, victim: Victim, sign: int) -> None:
@@ -433,8 +478,11 @@
     def _elsewhere(self, spec: JobSpec, held: Held) -> bool:
         """Whether another machine that is looked at has the image, fetches it, or is to."""
         for name in set(self.where.values()):
-            if self.need.zone in (None, self.zone_of[name]) and name != held.machine and (
-                    self.opened[name] > 0 or spec.image in self._site(name).images):
+            if (
+                self.need.zone in (None, self.zone_of[name])
+                and name != held.machine
+                and (self.opened[name] > 0 or spec.image in self._site(name).images)
+            ):
                 return True
         return False
 
--- a/alderbridge/machines.py
+++ b/alderbridge/machines.py
@@ -158,8 +158,15 @@
 class Part:
     """The machines that the hash gives to this controller."""
 
-    def __init__(self, me: str, lease_s: float, send: Callable[[str, object], int],
-                 spec_of: Callable[[str], JobSpec | None], home_of: Callable[[str], str], rng: Random) -> None:
+    def __init__(
+        self,
+        me: str,
+        lease_s: float,
+        send: Callable[[str, object], int],
+        spec_of: Callable[[str], JobSpec | None],
+        home_of: Callable[[str], str],
+        rng: Random,
+    ) -> None:
         self.me = me
         self.lease_s = lease_s
         self.send = self.send_later = send  # later: with the next message to that member, or the next round
@@ -195,8 +202,15 @@
         for machine in self.machines.values():
             machine.changed()
 
-    def enter(self, mandate: int, members: list[str], machines: Mapping[str, MachineRecord], now: float,
-              continued: bool = False, carry: bool = False) -> None:
+    def enter(
+        self,
+        mandate: int,
+        members: list[str],
+        machines: Mapping[str, MachineRecord],
+        now: float,
+        continued: bool = False,
+        carry: bool = False,
+    ) -> None:
         """A new view: these recorded machines are ours; all must acknowledge.
 
         ``continued``: this same process took part in the view just before, so what
@@ -213,8 +227,12 @@
             machine = self.machines[name] = Machine(name, now)
             machine.renewed_by = mandate
             machine.recorded = True
-            machine.address, machine.type, machine.zone, machine.spot = (record.address, record.type, record.zone,
-                                                                         record.spot)
+            machine.address, machine.type, machine.zone, machine.spot = (
+                record.address,
+                record.type,
+                record.zone,
+                record.spot,
+            )
             self.squaring.record(name)
             if name in old:
                 before = old[name]
@@ -234,13 +252,24 @@
         # Its drop was overtaken by the view, or a late put brought the record back: no home need wait a lease for it.
         self.to_drop = self.on_gone([name for name in machines if name in self.returned])
         heard = {name: old[name].heard_at for name in self.machines if name in old}
-        self.asking.enter(sorted((name for name, machine in self.machines.items() if machine.address),
-                                 key=lambda name: (-heard.get(name, 0.0), name)), now)
+        self.asking.enter(
+            sorted(
+                (name for name, machine in self.machines.items() if machine.address),
+                key=lambda name: (-heard.get(name, 0.0), name),
+            ),
+            now,
+        )
 
     def next_to_ask(self, now: float) -> tuple[str, str, int] | None:
         """Name, address and likeliest tenure of a machine to be asked for its acknowledgement now."""
-        name = self.asking.next(now, lambda name: (machine := self.machines.get(name)) is None or machine.acked
-                                or machine.state in (MachineState.LAPSED, MachineState.GONE))
+        name = self.asking.next(
+            now,
+            lambda name: (
+                (machine := self.machines.get(name)) is None
+                or machine.acked
+                or machine.state in (MachineState.LAPSED, MachineState.GONE)
+            ),
+        )
         if name is None:
             return None
         machine = self.machines[name]
@@ -252,8 +281,12 @@
         Later, a response with orders may be on its way to the worker, and this report know nothing of it.
         """
         machine = self.machines.get(beat.machine)
-        if (machine is not None and not machine.acked and machine.state is not MachineState.LAPSED
-                and beat.mandate >= self.mandate):
+        if (
+            machine is not None
+            and not machine.acked
+            and machine.state is not MachineState.LAPSED
+            and beat.mandate >= self.mandate
+        ):
             self.on_beat(beat, now)
 
     def settle(self, now: float) -> None:
@@ -344,8 +377,13 @@
                     machine.clears.discard((job, index, task.attempt))  # and its new result is not to be cleared
                 tell = True
                 urgent = urgent or task.status == "ended" and task.cause != "done"
-                on = OnMachine(task.attempt, task.status, task.cause, now,
-                               SeenTask(job, index, task.attempt, task.status, task.cause))
+                on = OnMachine(
+                    task.attempt,
+                    task.status,
+                    task.cause,
+                    now,
+                    SeenTask(job, index, task.attempt, task.status, task.cause),
+                )
                 log.debug("machine=%s task=%s status=%s cause=%s", machine.name, task.part, task.status, task.cause)
                 self._learn(machine, job, task.status, task.cause, now)
             tasks[key] = on
@@ -373,8 +411,11 @@
                 del machine.halts[key]
         waiting = len(machine.clears)
         if waiting:
-            machine.clears = {(job, index, attempt) for job, index, attempt in machine.clears
-                              if (on := tasks.get((job, index))) is not None and on.attempt == attempt}
+            machine.clears = {
+                (job, index, attempt)
+                for job, index, attempt in machine.clears
+                if (on := tasks.get((job, index))) is not None and on.attempt == attempt
+            }
         if len(machine.clears) < waiting or not waiting:  # all that waited were sent
             machine.clears_since = now
         self._orphans(machine)
@@ -436,14 +477,22 @@
         task takes nothing of a machine.
         """
         if not machine.acked:  # what a halt ends here is of use to nobody, so nothing is concluded from its absence
-            return [halt_order(job, index, attempt, 0.0) for (job, index), (attempt, _) in machine.halts.items()
-                    if self.cancelled(job)]
-        if (not machine.halts and not machine.pending and len(machine.clears) < c.CLEARS_MOST
-                and machine.heard_at - machine.clears_since < c.CLEAR_WAIT_S):
+            return [
+                halt_order(job, index, attempt, 0.0)
+                for (job, index), (attempt, _) in machine.halts.items()
+                if self.cancelled(job)
+            ]
+        if (
+            not machine.halts
+            and not machine.pending
+            and len(machine.clears) < c.CLEARS_MOST
+            and machine.heard_at - machine.clears_since < c.CLEAR_WAIT_S
+        ):
             return []
         orders = [clear_order(job, index, attempt) for job, index, attempt in sorted(machine.clears)]
-        orders += [halt_order(job, index, attempt, wind_down)
-                   for (job, index), (attempt, wind_down) in machine.halts.items()]
+        orders += [
+            halt_order(job, index, attempt, wind_down) for (job, index), (attempt, wind_down) in machine.halts.items()
+        ]
         if machine.state is MachineState.UP and machine.recorded:
             for (job, index), pending in machine.pending.items():
                 on = machine.tasks.get((job, index))
@@ -534,8 +583,12 @@
         """Stop the victims that the newest report shows; what is not there is passed over."""
         for job, index, attempt in victims:
             on = machine.tasks.get((job, index))
-            if (on is not None and on.attempt == attempt and on.status not in ("saving", "ended")
-                    and (job, index) not in machine.halts):
+            if (
+                on is not None
+                and on.attempt == attempt
+                and on.status not in ("saving", "ended")
+                and (job, index) not in machine.halts
+            ):
                 machine.halts[(job, index)] = machine.claim_halts[(job, index)] = (attempt, wind_down_s)
 
     def unclaim(self, machine: Machine) -> None:
@@ -545,8 +598,9 @@
                 del machine.halts[key]
         machine.claim_halts.clear()
 
-    def task_rows(self, now: float, claimed: Container[str], may_stop: Callable[[JobSpec], bool] | None
-                  ) -> list[TaskRow]:
+    def task_rows(
+        self, now: float, claimed: Container[str], may_stop: Callable[[JobSpec], bool] | None
+    ) -> list[TaskRow]:
         """Machines that are up: all tasks of claimed ones; of others those that may stop, or no row without that."""
         rows = []
         for machine in self.machines.values():
@@ -563,8 +617,14 @@
                     tasks.append((job, index, on.attempt, ran, ran == 0.0 or on.since > machine.watched_at))
             images: set[str] = set()
             if may_stop is not None and (kind := self.types.get(machine.type)) is not None and kind.gpus > 0:
-                images.update(machine.images, (spec.image for job, _ in (*machine.tasks, *machine.pending)
-                                               if (spec := self.spec_of(job)) is not None))
+                images.update(
+                    machine.images,
+                    (
+                        spec.image
+                        for job, _ in (*machine.tasks, *machine.pending)
+                        if (spec := self.spec_of(job)) is not None
+                    ),
+                )
             rows.append(TaskRow(machine.name, self.free(machine), tasks, sorted(images)))
         return rows
 
@@ -723,8 +783,7 @@
         """The machine for placement, if tasks may go there."""
         if machine.state is not MachineState.UP or not machine.recorded or now < machine.aside_until:
             return None
-        return Candidate(machine.name, machine.type, machine.zone, machine.spot, self.free(machine),
-                         machine.images)
+        return Candidate(machine.name, machine.type, machine.zone, machine.spot, self.free(machine), machine.images)
 
     def busy(self, now: float) -> placement.Busy:
         """Machines that run something and may have room left."""
@@ -758,11 +817,15 @@
             machine.free = room
         return room
 
-    def _busy(self, machine: Machine, loads: dict[str, Load | None], run_time: Callable[[JobSpec], float]
-              ) -> list[tuple[float | None, float, float, float, float]]:
+    def _busy(
+        self, machine: Machine, loads: dict[str, Load | None], run_time: Callable[[JobSpec], float]
+    ) -> list[tuple[float | None, float, float, float, float]]:
         """Of each task on it, or to be: since when it runs or None, and its load. ``loads``: found so far, now."""
-        tasks = [(job, on.since if on.status == "running" else None)
-                 for (job, _), on in machine.tasks.items() if on.status != "ended"]
+        tasks = [
+            (job, on.since if on.status == "running" else None)
+            for (job, _), on in machine.tasks.items()
+            if on.status != "ended"
+        ]
         tasks += [(job, None) for job, _ in machine.pending]
         found = []
         for job, since in tasks:
@@ -791,6 +854,17 @@
             state = machine.state.value
             if now < machine.aside_until and machine.state is MachineState.UP:
                 state = "aside"
-            rows.append(RoomRow(machine.name, machine.type, machine.zone, machine.spot, state, idle, self.free(machine),
-                                [(float(end), *freed) for end, freed in ends.items()], self.silent_s(machine, now)))
+            rows.append(
+                RoomRow(
+                    machine.name,
+                    machine.type,
+                    machine.zone,
+                    machine.spot,
+                    state,
+                    idle,
+                    self.free(machine),
+                    [(float(end), *freed) for end, freed in ends.items()],
+                    self.silent_s(machine, now),
+                )
+            )
         return rows
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -197,8 +197,9 @@
     body: bytes
 
 
-Body = (Pulse | Queue | Room | Take | Grant | Seen | Clear | Halt | Allot | Drain | Gone | Show | Tasks | Keep
-        | Ask | Reply)
+Body = (
+    Pulse | Queue | Room | Take | Grant | Seen | Clear | Halt | Allot | Drain | Gone | Show | Tasks | Keep | Ask | Reply
+)
 
 
 class Frame(msgspec.Struct, array_like=True, frozen=True):
@@ -238,8 +239,9 @@
     def __call__(self, frame: Frame) -> bytes:
         if frame.body is not self.body:
             self.body, self.raw = frame.body, msgspec.Raw(_encode(frame.body))
-        data = _encode(_Envelope(frame.version, frame.sender, frame.mandate, frame.seq, frame.ack, self.raw,
-                                 frame.incarnation))
+        data = _encode(
+            _Envelope(frame.version, frame.sender, frame.mandate, frame.seq, frame.ack, self.raw, frame.incarnation)
+        )
         return _HEAD.pack(len(data)) + data
 
 
@@ -255,7 +257,7 @@
                 if length - at - _HEAD.size < size:
                     return
                 at += _HEAD.size + size
-                yield _decode(view[at - size:at])
+                yield _decode(view[at - size : at])
     finally:
         del buffer[:at]
 
--- a/alderbridge/net.py
+++ b/alderbridge/net.py
@@ -90,8 +90,9 @@
 
 
 def _response(status: int, length: int, extra: tuple[tuple[str, str], ...]) -> h11.Response:
-    return h11.Response(status_code=status, headers=[("Content-Type", "application/json"),
-                                                     ("Content-Length", str(length)), *extra])
+    return h11.Response(
+        status_code=status, headers=[("Content-Type", "application/json"), ("Content-Length", str(length)), *extra]
+    )
 
 
 @functools.lru_cache(maxsize=256)
@@ -138,20 +139,27 @@
     head = data[:end]
     names = [name for name, _ in event.headers]
     line = b"HTTP/1.1 " if isinstance(event, h11.Response) else b"%b %b HTTP/1.1\r\n" % (event.method, event.target)
-    if (end < 4 or end > c.PLAIN_HEAD or not head.startswith(line) or event.http_version != b"1.1"
-            or names.count(b"content-length") > 1
-            or any(name in names for name in (b"connection", b"transfer-encoding", b"expect", b"upgrade"))
-            or head.count(b"\n") != head.count(b"\r\n") or b"\r\n " in head or b"\r\n\t" in head):
+    if (
+        end < 4
+        or end > c.PLAIN_HEAD
+        or not head.startswith(line)
+        or event.http_version != b"1.1"
+        or names.count(b"content-length") > 1
+        or any(name in names for name in (b"connection", b"transfer-encoding", b"expect", b"upgrade"))
+        or head.count(b"\n") != head.count(b"\r\n")
+        or b"\r\n " in head
+        or b"\r\n\t" in head
+    ):
         return None
     length = _LENGTH.search(head) if b"content-length" in names else None
-    around = (head[:length.start(1)], head[length.end(1):]) if length else (head, None)
+    around = (head[: length.start(1)], head[length.end(1) :]) if length else (head, None)
     if isinstance(event, h11.Response):
         return Plain(*around, event.status_code) if length and event.status_code not in (204, 304) else None
     if event.method not in (b"GET", b"POST") or (length is None and b"content-length" in names):
         return None
     meaning = event.method.decode(), event.target.decode("latin-1")
     if event.method == b"GET":
-        return Plain(around[0][4 + len(event.target):], around[1], meaning, b"GET ")
+        return Plain(around[0][4 + len(event.target) :], around[1], meaning, b"GET ")
     return Plain(*around, meaning)
 
 
@@ -169,8 +177,25 @@
     decides what is a request. Nothing here waits.
     """
 
-    __slots__ = ("server", "sock", "fd", "state", "deadline", "plain", "data", "begun", "through", "raw", "http",
-                 "request", "parts", "size", "out", "closing", "heard")
+    __slots__ = (
+        "server",
+        "sock",
+        "fd",
+        "state",
+        "deadline",
+        "plain",
+        "data",
+        "begun",
+        "through",
+        "raw",
+        "http",
+        "request",
+        "parts",
+        "size",
+        "out",
+        "closing",
+        "heard",
+    )
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
         self.server, self.sock, self.fd = server, sock, sock.fileno()
@@ -257,7 +282,7 @@
             self.data = data[end:]
             method, target = plain.meaning
             if plain.method:
-                target = data[len(plain.method):data.find(b" ", len(plain.method))].decode()
+                target = data[len(plain.method) : data.find(b" ", len(plain.method))].decode()
             self.handle(method, target, data[begin:end])
         elif self.begun:
             self.parse()  # in many pieces, which are to be put together once
@@ -500,8 +525,9 @@
 class Exchange:
     """One request on a connection of its own, which nothing waits for: ``done`` is called with the answer, or None."""
 
-    def __init__(self, poll: Poll, host: str, port: int, reading: Reading,
-                 done: Callable[[tuple[int, bytes] | None], None]) -> None:
+    def __init__(
+        self, poll: Poll, host: str, port: int, reading: Reading, done: Callable[[tuple[int, bytes] | None], None]
+    ) -> None:
         self.poll, self.reading, self.done = poll, reading, done
         self.rest = reading.request
         self.began_at = now()
@@ -520,7 +546,7 @@
             if not event:
                 return self.end(None)
             if self.rest:
-                self.rest = self.rest[self.sock.send(self.rest):]
+                self.rest = self.rest[self.sock.send(self.rest) :]
                 self.connected = True
                 if not self.rest:
                     self.poll.change(self.sock.fileno(), IN)
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -61,10 +61,12 @@
     each = max(1, (room - 2) // (max(map(len, needs)) + 3))
     count = -(-len(needs) // each)
     more = f"{hashlib.blake2b(' '.join(needs).encode(), digest_size=8).hexdigest()}/{count}"
-    parts = [needs[at:at + each] for at in range(0, len(needs), each)]
+    parts = [needs[at : at + each] for at in range(0, len(needs), each)]
     spec = msgspec.structs.replace(record.spec, needs=None)
-    return (msgspec.structs.replace(record, spec=spec, more=more),
-            dict(zip(list_keys(spec.id, more), parts, strict=True)))
+    return (
+        msgspec.structs.replace(record, spec=spec, more=more),
+        dict(zip(list_keys(spec.id, more), parts, strict=True)),
+    )
 
 
 @dataclass(eq=False)
@@ -99,8 +101,14 @@
 
 
 class Node:
-    def __init__(self, platform: Platform, tuning: Tuning, now: float, rng: Random | None = None,
-                 own: dict[str, Declared] | None = None) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        tuning: Tuning,
+        now: float,
+        rng: Random | None = None,
+        own: dict[str, Declared] | None = None,
+    ) -> None:
         """``own``: what the operators' files of this process declare, by kind."""
         shared = platform.settings
         self.me = platform.label
@@ -117,15 +125,17 @@
         self.limits = shared.state.kept
         self.home = Home(shared.teams, self.send, int(self.limits.value_kb * 1024))
         self.home.part_of = self.membership.part_of
-        self.part = Part(self.me, shared.workers.lease_s, self.send, self.spec_of, self.home_of,
-                         rng or Random(platform.label))
+        self.part = Part(
+            self.me, shared.workers.lease_s, self.send, self.spec_of, self.home_of, rng or Random(platform.label)
+        )
         self.part.upto = self.upto
         self.part.cancelled, self.part.keep_record = self.cancelled, self.keep_record
         self.part.send_later = self.home.send_later = self.send_later
         self.busy: placement.Busy | None = None  # made when first asked for in a round
         self.kept: tuple[str, float] = ("", float("-inf"))  # machine whose room is kept, and when last for something
-        self.leader = Leader(shared.teams, shared.zones, tuning, self.replica, shared.cloud.list_lag_s,
-                             shared.workers.lease_s)
+        self.leader = Leader(
+            shared.teams, shared.zones, tuning, self.replica, shared.cloud.list_lag_s, shared.workers.lease_s
+        )
         self.ledger, self.desk = self.replica.ledger, Desk(self.leader, self.replica.ledger)
         self.priorities: Callable[[float], list[Text]] = lambda now: self.declared.in_force("priorities", now)
         self.rules = Rules([])
@@ -199,9 +209,17 @@
         needed = self.graph.needed_by(job.spec.id)
         basis = (job.arrived, needed, guaranteed)  # all may change while it waits for room
         if job.queue_times is None or job.queue_times[0] != basis:
-            job.queue_times = basis, policy.queue_times(job.spec, self.tuning, self.shared.objectives, guaranteed,
-                                                        job.arrived - job.submitted,
-                                                        [by - self.wall - job.arrived for by in needed])
+            job.queue_times = (
+                basis,
+                policy.queue_times(
+                    job.spec,
+                    self.tuning,
+                    self.shared.objectives,
+                    guaranteed,
+                    job.arrived - job.submitted,
+                    [by - self.wall - job.arrived for by in needed],
+                ),
+            )
             if job.opened_at and job.queue_times[1][-1][1] < 0:  # missed before it opened: no reason to rent then
                 floor = policy.max_queue_time(job.spec, self.tuning)
                 job.queue_times = basis, [(floor, floor)]
@@ -322,8 +340,14 @@
                     self.news.append(machine)
             case m.Queue():
                 specs = [(row, self.spec_of(row.job)) for row in body.rows if row.offer > 0]
-                self.offers.tell(label, [placement.Offer(label, row, spec, self.now, c.GATHER_S)
-                                         for row, spec in specs if spec is not None])
+                self.offers.tell(
+                    label,
+                    [
+                        placement.Offer(label, row, spec, self.now, c.GATHER_S)
+                        for row, spec in specs
+                        if spec is not None
+                    ],
+                )
                 self.leader.on_queue(label, body, self.now)
             case m.Room():
                 self.leader.on_room(label, body, self.now)
@@ -337,8 +361,15 @@
                 self.dropping += self.part.on_gone(body.machines)
             case m.Show():
                 sources = self.sources()
-                self.tell(label, m.Tasks(self.part.task_rows(self.now, self.ledger.entries, lambda spec: any(
-                    source.shown(spec) for source in sources)), True))
+                self.tell(
+                    label,
+                    m.Tasks(
+                        self.part.task_rows(
+                            self.now, self.ledger.entries, lambda spec: any(source.shown(spec) for source in sources)
+                        ),
+                        True,
+                    ),
+                )
             case m.Keep():
                 self.held_gpus, self.held_until = body.gpus, self.now + c.LEND_KEEP_S
             case m.Tasks():
@@ -371,9 +402,9 @@
             if self.replica.apply(change):
                 self.enter_view(now, wall)
             elif change.put is not None and change.put.startswith(JOBS):
-                self.take_in(change.put[len(JOBS):])
+                self.take_in(change.put[len(JOBS) :])
             elif change.put is not None and change.put.startswith(MACHINES):
-                shown.append(change.put[len(MACHINES):])
+                shown.append(change.put[len(MACHINES) :])
         self.look_at_shown(shown)
         self.follow_graph()
         self.follow_declared()
@@ -392,9 +423,15 @@
         Nothing of it was granted, as it was in no home.
         """
         record, stamp = self.replica.active.get(name, (None, 0))
-        if (record is None or not self.inside or stamp <= self.membership.mandate or name in self.home.jobs
-                or name in self.submissions or record.state is not JobState.ACTIVE
-                or self.membership.home_of(record.home) != self.me):
+        if (
+            record is None
+            or not self.inside
+            or stamp <= self.membership.mandate
+            or name in self.home.jobs
+            or name in self.submissions
+            or record.state is not JobState.ACTIVE
+            or self.membership.home_of(record.home) != self.me
+        ):
             return
         job = Job(record, stamp, self.now, max(0.0, self.now + self.wall - record.at), fresh=True)
         self.home.join(job)
@@ -472,8 +509,9 @@
         recorded = {name: self.replica.record(name) for name in self.replica.machines} if inside else {}
         self.home.enter(mandate, jobs, recorded)
         mine = {name: record for name, record in recorded.items() if self.membership.part_of(name) == self.me}
-        self.part.enter(mandate, members if inside else [], mine, now, continued,
-                        continued and self.membership.all_run(c.RECOVERY))
+        self.part.enter(
+            mandate, members if inside else [], mine, now, continued, continued and self.membership.all_run(c.RECOVERY)
+        )
         self.leader.enter(members, now)
         # Only members write. Divided by all controllers of the settings, four fifths of the store's changes lay unused
         # while the one that was left made the users of a stream of small jobs wait for half a minute.
@@ -569,8 +607,12 @@
             queue = [entry for _, entry in sorted(waited, key=lambda entry: entry[0])]
         else:
             queue += self.submissions.values()
-        if not queue and plain and (proposal := self.declared.due(self.membership, now, now + self.wall, plain,
-                                                                  self.home.value_bytes)) is not None:
+        if (
+            not queue
+            and plain
+            and (proposal := self.declared.due(self.membership, now, now + self.wall, plain, self.home.value_bytes))
+            is not None
+        ):
             batch.proposal, batch.puts, batch.drops = proposal, proposal.puts, proposal.drops
             batch.conditions |= proposal.conditions
             self._spend(batch)
@@ -583,7 +625,7 @@
         # each record left behind by a machine that is gone holds up the inherited tasks of every later view.
         urgent = len(queue)
         left = min((plain - len(batch.machines) + 1) // 2, room - len(batch.machines) - urgent)
-        batch.gone = self.dropping[:max(0, left)]
+        batch.gone = self.dropping[: max(0, left)]
         queue += [job for rank, job in due if rank >= 2.0]
         size = 0
         for number, entry in enumerate(queue):
@@ -615,7 +657,7 @@
             else:
                 job.changed_at = None
                 batch.jobs.append((job, record, list(job.to_clear)))
-        batch.gone = self.dropping[:len(batch.gone) + max(0, plain - batch.changes)]
+        batch.gone = self.dropping[: len(batch.gone) + max(0, plain - batch.changes)]
         batch.drops = [MACHINES + name for name in batch.gone]
         self.drops_sent.update(batch.gone)
         # Carried out late, a drop must not hit a record that has been written again since.
@@ -659,8 +701,15 @@
 
     def nothing_to_write(self) -> bool:
         """Whether nothing has come since the last look that found nothing, or nothing affordable, to write."""
-        return not (self.fresh or self.home.tally.changed or self.part.to_record or self.part.drops_due(self.now)
-                    or self.dropping or self.dropping_lists or not self.ledger.idle)
+        return not (
+            self.fresh
+            or self.home.tally.changed
+            or self.part.to_record
+            or self.part.drops_due(self.now)
+            or self.dropping
+            or self.dropping_lists
+            or not self.ledger.idle
+        )
 
     def next_write_in(self, now: float) -> float:
         """How long a look for what to write can wait, in seconds, if nothing comes."""
@@ -704,8 +753,9 @@
 
     def value_too_large(self, size: int) -> None:
         self.home.value_bytes = min(self.home.value_bytes, max(c.LEAST_VALUE, size * 3 // 4))
-        log.error("store state=takes less cause=400 values=%d bytes changes=%d", self.home.value_bytes,
-                  self.most_changes)
+        log.error(
+            "store state=takes less cause=400 values=%d bytes changes=%d", self.home.value_bytes, self.most_changes
+        )
 
     def batch_done(self, batch: Batch, stamp: int, now: float) -> None:
         self.now = now
@@ -790,7 +840,7 @@
             return  # a head that has changed: the replica will tell
         if key.startswith(MACHINES):
             # An earlier write of ours had no answer.
-            name = key[len(MACHINES):]
+            name = key[len(MACHINES) :]
             if name in batch.gone and row is None:
                 if not self._written_since(name, batch):
                     self._dropped(name)
@@ -804,7 +854,7 @@
         if row is None or batch.claims is not None:
             return  # claims in conflict are given up: the replica will show them
         record = _record.decode(row.data)
-        name = key[len(JOBS):]
+        name = key[len(JOBS) :]
         for submission, _ in batch.fresh + batch.lists:
             job = submission.job
             if job.spec.id == name and not submission.outcome:
@@ -874,8 +924,15 @@
 
     def _settle(self, submission: Submission, outcome: str) -> None:
         spec = submission.job.spec
-        log.info("job=%s state=%s class=%s team=%s tasks=%d cpus=%g", spec.id, outcome, spec.job_class, spec.team,
-                 spec.tasks, spec.cpus)
+        log.info(
+            "job=%s state=%s class=%s team=%s tasks=%d cpus=%g",
+            spec.id,
+            outcome,
+            spec.job_class,
+            spec.team,
+            spec.tasks,
+            spec.cpus,
+        )
         submission.outcome = outcome
         self.submissions.pop(submission.job.spec.id, None)
         self.take_in(spec.id)
@@ -925,16 +982,20 @@
             """One machine at a time keeps its room: some slots stay empty for some seconds, whatever is waited for."""
             name, at = self.kept
             kind, zone = self.types.get(machine.type), offer.row.zone
-            if ((name != machine.name and now - at < c.KEEP_QUIET_S) or kind is None
-                    or (zone is not None and zone != machine.zone)
-                    or not placement.allowed(offer.spec, machine.type, machine.zone, machine.spot)
-                    or not placement.fits(offer.spec, (kind.cpus, kind.memory_gb, kind.gpus))):
+            if (
+                (name != machine.name and now - at < c.KEEP_QUIET_S)
+                or kind is None
+                or (zone is not None and zone != machine.zone)
+                or not placement.allowed(offer.spec, machine.type, machine.zone, machine.spot)
+                or not placement.fits(offer.spec, (kind.cpus, kind.memory_gb, kind.gpus))
+            ):
                 return False
             self.kept = machine.name, now
             return True
 
-        for want in placement.fill(candidate, self.offers, lambda spec: self.part.fetch_s(machine, spec),
-                                   room_elsewhere, keep):
+        for want in placement.fill(
+            candidate, self.offers, lambda spec: self.part.fetch_s(machine, spec), room_elsewhere, keep
+        ):
             take = self.part.reserve(machine, want.job, want.count)
             self.send(want.home, m.Take(take, want.job, want.machine, want.zone, want.count))
         self.pump()
@@ -992,6 +1053,7 @@
 
     def look_at_claims(self, now: float) -> None:
         """The leader's look: what is over, who needs room, which tasks are to stop for it."""
+
         def teams() -> Teams:
             used: dict[str, tuple[float, float]] = {}
             for queue, _ in self.leader.queues.values():
@@ -1042,8 +1104,16 @@
         if self.hours is not None and self.may_act():
             self.home.stop_closed()
         self.share_changes(now)
-        queue = m.Queue(rows, used, self.home.held(used), self.home.want(used), self.home.allots,
-                        contact.missing(), contact.dropped(), self.changes_told)
+        queue = m.Queue(
+            rows,
+            used,
+            self.home.held(used),
+            self.home.want(used),
+            self.home.allots,
+            contact.missing(),
+            contact.dropped(),
+            self.changes_told,
+        )
         for label in self.labels:
             if label not in members:
                 self.tell(label, m.Pulse())
@@ -1060,8 +1130,9 @@
             self.part.check_silence(now)
             self.tell(self.membership.view.leader, m.Room(self.part.room(now, self.run_time)))
             if self.ledger.entries and self.membership.all_run(c.DECLARED):
-                self.tell(self.membership.view.leader, m.Tasks(
-                    self.part.task_rows(now, self.ledger.entries, None), False))
+                self.tell(
+                    self.membership.view.leader, m.Tasks(self.part.task_rows(now, self.ledger.entries, None), False)
+                )
         if self.membership.leads(now):
             for label, teams in self.leader.allots().items():
                 self.send(label, m.Allot(teams))
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -47,8 +47,11 @@
 
 
 def allowed(spec: JobSpec, machine_type: str, zone: str, spot: bool) -> bool:
-    return ((spec.types is None or machine_type in spec.types) and (spec.zone is None or spec.zone == zone)
-            and (spec.spot or not spot))
+    return (
+        (spec.types is None or machine_type in spec.types)
+        and (spec.zone is None or spec.zone == zone)
+        and (spec.spot or not spot)
+    )
 
 
 def fits(spec: JobSpec, room: Room) -> int:
@@ -76,8 +79,11 @@
         """How many tasks of ``spec`` fit them; alike jobs share the answer."""
         shape = (spec.cpus, spec.memory_gb, spec.gpus, spec.spot, spec.zone, tuple(spec.types or ()))
         if shape not in self.rooms:
-            self.rooms[shape] = sum(fits(spec, machine.free) for machine in self.machines
-                                    if allowed(spec, machine.type, machine.zone, machine.spot))
+            self.rooms[shape] = sum(
+                fits(spec, machine.free)
+                for machine in self.machines
+                if allowed(spec, machine.type, machine.zone, machine.spot)
+            )
         return self.rooms[shape]
 
 
@@ -161,8 +167,13 @@
     return result
 
 
-def fill(machine: Candidate, offers: Offers, fetch_s: Callable[[JobSpec], float],
-         room_elsewhere: Callable[[Offer], int], keep: Callable[[Offer], bool] = lambda offer: False) -> list[Wanted]:
+def fill(
+    machine: Candidate,
+    offers: Offers,
+    fetch_s: Callable[[JobSpec], float],
+    room_elsewhere: Callable[[Offer], int],
+    keep: Callable[[Offer], bool] = lambda offer: False,
+) -> list[Wanted]:
     """What to ask for, for one machine; takes it off ``left``.
 
     ``keep``: whether the room that is left stays free for an offer whose tasks it does not hold yet. Smaller
--- a/alderbridge/policy.py
+++ b/alderbridge/policy.py
@@ -70,8 +70,14 @@
     return max(tuning.queue_time_floor_s, requested * tuning.target_ratio)
 
 
-def queue_times(spec: JobSpec, tuning: Tuning, objectives: Iterable[Objective], guaranteed: bool,
-                waited_s: float = 0.0, needed_s: Iterable[float] = ()) -> list[tuple[float, float]]:
+def queue_times(
+    spec: JobSpec,
+    tuning: Tuning,
+    objectives: Iterable[Objective],
+    guaranteed: bool,
+    waited_s: float = 0.0,
+    needed_s: Iterable[float] = (),
+) -> list[tuple[float, float]]:
     """The Maximum Queue Times that the operators' objectives set, shortest first.
 
     Where they promise a start in seconds, the paper's floor of minutes cannot
@@ -207,8 +213,9 @@
         total = (free[0] + cpus, free[1] + memory, free[2] + gpus)
         known = (resource.kind, total)
         if known not in self.heads:
-            self.heads[known] = next((demand for demand in self.queue
-                                      if _may_use(demand, resource.kind) and fits(demand.spec, total)), None)
+            self.heads[known] = next(
+                (demand for demand in self.queue if _may_use(demand, resource.kind) and fits(demand.spec, total)), None
+            )
         head = self.heads[known]
         if head is not None:
             key = (resource.kind, head.spec.id)
@@ -352,10 +359,10 @@
             walk.add(Resource(kind, market.room(kind)))
 
     def drop(number: int) -> None:
-        for kind in wanted[len(wanted) - number:]:
+        for kind in wanted[len(wanted) - number :]:
             count[kind] -= 1
             walk.remove(Resource(kind, market.room(kind)))
-        del wanted[len(wanted) - number:]
+        del wanted[len(wanted) - number :]
 
     if not market.kinds(now):
         return wanted
@@ -390,8 +397,9 @@
     return wanted
 
 
-def hard_check(queue: Iterable[Demand], market: Market, now: float, booting: Sequence[Resource],
-               below_cap: int) -> list[Kind]:
+def hard_check(
+    queue: Iterable[Demand], market: Market, now: float, booting: Sequence[Resource], below_cap: int
+) -> list[Kind]:
     """Hard (3.3): tasks within boot time and margin of a breach ask for machines.
 
     The paper's machine holds one task, ours several: tasks ask for the machines
@@ -442,8 +450,9 @@
     kept: bool = False  # less than that is kept for it all the same, until it holds a task
 
 
-def divide(limit: float, used: dict[str, float], held: dict[str, float], given: dict[str, float],
-           needs: Sequence[Need]) -> dict[str, float]:
+def divide(
+    limit: float, used: dict[str, float], held: dict[str, float], given: dict[str, float], needs: Sequence[Need]
+) -> dict[str, float]:
     """Shares of a team's limit; their sum with what is still held never exceeds it.
 
     ``held`` is what each home reported under its last allotment ``given``; it
--- a/alderbridge/recovery/__init__.py
+++ b/alderbridge/recovery/__init__.py
@@ -16,5 +16,16 @@
 from .squaring import Squaring, State
 from .table import TABLE, Known, Told, Verdict, verdict
 
-__all__ = ["TABLE", "Asking", "Barrier", "HoldBack", "Known", "Knowledge", "Squaring", "State", "Told", "Verdict",
-           "verdict"]
+__all__ = [
+    "TABLE",
+    "Asking",
+    "Barrier",
+    "HoldBack",
+    "Known",
+    "Knowledge",
+    "Squaring",
+    "State",
+    "Told",
+    "Verdict",
+    "verdict",
+]
--- a/alderbridge/recovery/asking.py
+++ b/alderbridge/recovery/asking.py
@@ -40,5 +40,5 @@
     def unanswered(self, name: str, now: float) -> None:
         tries = self.tries.get(name, 0)
         if 0 < tries < c.ASK_TRIES:
-            pause = self.rng.uniform(0.0, min(c.ASK_PAUSE_MAX_S, c.ASK_PAUSE_S * 2 ** tries))
+            pause = self.rng.uniform(0.0, min(c.ASK_PAUSE_MAX_S, c.ASK_PAUSE_S * 2**tries))
             heapq.heappush(self.queue, (now + pause, len(self.queue), name))
--- a/alderbridge/recovery/table.py
+++ b/alderbridge/recovery/table.py
@@ -50,17 +50,17 @@
 _V = Verdict
 TABLE: tuple[tuple[Verdict, ...], ...] = (
     # LIVE            HELD        DONE           ERROR          STOPPED        ABSENT
-    (_V.HALT,          _V.NOTHING, _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # STRANGER
+    (_V.HALT, _V.NOTHING, _V.CLEAR, _V.CLEAR, _V.CLEAR, _V.NOTHING),  # STRANGER
     # Of a cancelled job, too: passed over, what was ordered was in nobody's count of its team once all were squared.
-    (_V.ADOPT_HALT,    _V.ADOPT,   _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.STRIKE),   # OVER
-    (_V.PROGRESS_HALT, _V.NOTHING, _V.FREE_CLEAR, _V.FREE_CLEAR, _V.FREE_CLEAR, _V.FREE),     # OVER_HERE
-    (_V.HALT,          _V.NOTHING, _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # DONE
-    (_V.HALT,          _V.NOTHING, _V.FINISH,     _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # COUNTED
-    (_V.ADOPT,         _V.ADOPT,   _V.FINISH,     _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # WAITING
-    (_V.ADOPT,         _V.ADOPT,   _V.FINISH,     _V.CLEAR,      _V.CLEAR,      _V.STRIKE),   # POSSIBLE
-    (_V.PROGRESS,      _V.NOTHING, _V.FINISH,     _V.FAIL_CLEAR, _V.FREE_CLEAR, _V.FREE),     # HERE
-    (_V.HALT,          _V.NOTHING, _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.FREE),     # OTHER_TRY
-    (_V.HALT,          _V.NOTHING, _V.CLEAR,      _V.CLEAR,      _V.CLEAR,      _V.NOTHING),  # ELSEWHERE
+    (_V.ADOPT_HALT, _V.ADOPT, _V.CLEAR, _V.CLEAR, _V.CLEAR, _V.STRIKE),  # OVER
+    (_V.PROGRESS_HALT, _V.NOTHING, _V.FREE_CLEAR, _V.FREE_CLEAR, _V.FREE_CLEAR, _V.FREE),  # OVER_HERE
+    (_V.HALT, _V.NOTHING, _V.CLEAR, _V.CLEAR, _V.CLEAR, _V.NOTHING),  # DONE
+    (_V.HALT, _V.NOTHING, _V.FINISH, _V.CLEAR, _V.CLEAR, _V.NOTHING),  # COUNTED
+    (_V.ADOPT, _V.ADOPT, _V.FINISH, _V.CLEAR, _V.CLEAR, _V.NOTHING),  # WAITING
+    (_V.ADOPT, _V.ADOPT, _V.FINISH, _V.CLEAR, _V.CLEAR, _V.STRIKE),  # POSSIBLE
+    (_V.PROGRESS, _V.NOTHING, _V.FINISH, _V.FAIL_CLEAR, _V.FREE_CLEAR, _V.FREE),  # HERE
+    (_V.HALT, _V.NOTHING, _V.CLEAR, _V.CLEAR, _V.CLEAR, _V.FREE),  # OTHER_TRY
+    (_V.HALT, _V.NOTHING, _V.CLEAR, _V.CLEAR, _V.CLEAR, _V.NOTHING),  # ELSEWHERE
 )
 
 
--- a/alderbridge/replica.py
+++ b/alderbridge/replica.py
@@ -60,7 +60,7 @@
             self.types = {kind.name: kind for kind in _flavours.decode(change.data).flavours}
             self.types_stamp = change.stamp
         if key.startswith(JOBS) and not gone:
-            job = key[len(JOBS):]
+            job = key[len(JOBS) :]
             known = self.active.get(job)
             if known is None or change.stamp > known[1]:  # else this node's own write
                 self.saw_job(job, _record.decode(change.data), change.stamp)
@@ -70,7 +70,7 @@
             else:
                 self.lists[key] = _list.decode(change.data)
         elif key.startswith(MACHINES):
-            name = key[len(MACHINES):]
+            name = key[len(MACHINES) :]
             if gone:
                 if self.machines.get(name, 0) < change.stamp:
                     self.machines.pop(name, None)
@@ -82,7 +82,7 @@
             self.ledger.apply(key, None if gone else change.data, change.stamp)
         elif key.startswith(MEMBERS):
             presence = None if gone else _presence.decode(change.data)
-            self.membership.saw_presence(key[len(MEMBERS):], presence, change.stamp)
+            self.membership.saw_presence(key[len(MEMBERS) :], presence, change.stamp)
         elif key.startswith(DECLARED):
             self.declared.apply(key, None if gone else bytes(change.data), change.stamp)
         return False
--- a/alderbridge/store.py
+++ b/alderbridge/store.py
@@ -55,8 +55,14 @@
         self.client = Client(*address(endpoint))
         self.follower = Client(*address(endpoint), keep=1)
 
-    async def _call(self, method: str, target: str, body: Any = None, timeout_s: float = c.STATE_TIMEOUT_S,
-                    client: Client | None = None) -> tuple[int, bytes]:
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        timeout_s: float = c.STATE_TIMEOUT_S,
+        client: Client | None = None,
+    ) -> tuple[int, bytes]:
         raw = b"" if body is None else wire.encode(body)
         status, answer = await (client or self.client).request(method, target, raw, timeout_s)
         if status == 429:
@@ -78,8 +84,9 @@
             raise Refused(f"page {prefix}: {status}")
         return _rows.decode(answer)
 
-    async def commit(self, conditions: dict[str, int], puts: dict[str, Any], drops: list[str] = (),
-                     permit: int | None = None) -> wire.Committed:
+    async def commit(
+        self, conditions: dict[str, int], puts: dict[str, Any], drops: list[str] = (), permit: int | None = None
+    ) -> wire.Committed:
         """Empty ``failed``: carried out at ``epoch``. ``HoldLost`` for an ended permit, else 400 is ``TooLarge``."""
         writes: list[dict[str, Any]] = []
         for key, value in puts.items():
@@ -118,8 +125,12 @@
 
     async def follow(self, epoch: int, wait_s: float) -> wire.Changes:
         wait_ms = int(wait_s * 1000)
-        status, answer = await self._call("GET", f"/follow?starts={ROOT}&from={epoch}&wait_ms={wait_ms}",
-                                          timeout_s=c.FOLLOW_WAIT_S + c.STATE_TIMEOUT_S, client=self.follower)
+        status, answer = await self._call(
+            "GET",
+            f"/follow?starts={ROOT}&from={epoch}&wait_ms={wait_ms}",
+            timeout_s=c.FOLLOW_WAIT_S + c.STATE_TIMEOUT_S,
+            client=self.follower,
+        )
         if status == 410:
             raise TooOld(str(epoch))
         if status != 200:
--- a/alderbridge/urgency/declaration.py
+++ b/alderbridge/urgency/declaration.py
@@ -12,9 +12,13 @@
 
 # key -> (default, lowest, highest, whole number)
 _NUMBERS: dict[str, tuple[float, float, float, bool]] = {
-    "stops a minute": (60, 0, 100_000, True), "stops at once": (20, 0, 100_000, True), "share": (0.05, 0.0, 1.0, False),
-    "least run": (10.0, 0.0, 86_400.0, False), "most stops": (2, 0, 1000, True),
-    "waits at most": (600.0, 0.0, 864_000.0, False)}
+    "stops a minute": (60, 0, 100_000, True),
+    "stops at once": (20, 0, 100_000, True),
+    "share": (0.05, 0.0, 1.0, False),
+    "least run": (10.0, 0.0, 86_400.0, False),
+    "most stops": (2, 0, 1000, True),
+    "waits at most": (600.0, 0.0, 864_000.0, False),
+}
 _KEYS = ("workloads", "urgency", "may preempt", "preemptible", *_NUMBERS)
 
 
@@ -39,8 +43,11 @@
         return f"{self.owner}/{self.name}"
 
     def holds(self, spec: JobSpec) -> bool:
-        return (fnmatchcase(spec.team, self.owner) and (not self.urgency or spec.priority in self.urgency)
-                and any(fnmatchcase(spec.job_class, pattern) for pattern in self.workloads))
+        return (
+            fnmatchcase(spec.team, self.owner)
+            and (not self.urgency or spec.priority in self.urgency)
+            and any(fnmatchcase(spec.job_class, pattern) for pattern in self.workloads)
+        )
 
     def names(self, other: PriorityClass) -> bool:
         """Whether its ``may preempt`` names the other class."""
@@ -83,8 +90,11 @@
         workloads = _words(values.get("workloads", "*"))
         if not workloads:
             raise ConfigError(f"{path}: [{section}] workloads: expected names or patterns, got none")
-        classes.append(PriorityClass(owner, name, workloads, urgency, _words(values.get("may preempt", "")),
-                                     yes == "yes", *numbers))
+        classes.append(
+            PriorityClass(
+                owner, name, workloads, urgency, _words(values.get("may preempt", "")), yes == "yes", *numbers
+            )
+        )
     for one in classes:
         for pattern in one.may_preempt:
             alone = msgspec.structs.replace(one, may_preempt=[pattern])
@@ -116,10 +126,17 @@
     for one in text.classes:
         others = [other.title for other in text.classes if one.names(other) and other.preemptible]
         who = f"class {one.title} ({', '.join(one.workloads)}; {', '.join(one.urgency) or 'any urgency'})"
-        may = (f"may stop {', '.join(others)} where the protocol allows it: {one.stops_a_minute} a minute, "
-               f"{one.stops_at_once} at once, {one.share:g} of what runs" if others else "stops nobody")
-        stopped = (f"may be stopped after {one.least_run_s:g} s, {one.most_stops} times a task, until "
-                   f"{one.waits_at_most_s:g} s after the first" if one.preemptible and one.most_stops else
-                   "is never stopped")
+        may = (
+            f"may stop {', '.join(others)} where the protocol allows it: {one.stops_a_minute} a minute, "
+            f"{one.stops_at_once} at once, {one.share:g} of what runs"
+            if others
+            else "stops nobody"
+        )
+        stopped = (
+            f"may be stopped after {one.least_run_s:g} s, {one.most_stops} times a task, until "
+            f"{one.waits_at_most_s:g} s after the first"
+            if one.preemptible and one.most_stops
+            else "is never stopped"
+        )
         lines.append(f"{who}: {may}; {stopped}")
     return lines
--- a/alderbridge/urgency/needs.py
+++ b/alderbridge/urgency/needs.py
@@ -15,8 +15,14 @@
     from .rules import Rules
 
 
-def needs(rules: Rules, demands: Iterable[Demand], rows: Mapping[str, QueueRow], resources: Iterable[Resource],
-          promised: Counter[str], stopped: Container[str]) -> list[Need]:
+def needs(
+    rules: Rules,
+    demands: Iterable[Demand],
+    rows: Mapping[str, QueueRow],
+    resources: Iterable[Resource],
+    promised: Counter[str],
+    stopped: Container[str],
+) -> list[Need]:
     """Tasks of classes that may preempt, left by free room, by room that comes free and by machines that boot.
 
     ``demands``: all that waits, within the teams' limits. ``resources``: without machines that have a claim, whose
@@ -25,12 +31,13 @@
     """
     queue = [demand for demand in demands if demand.spec.id in rows]
     queue.sort(key=lambda demand: order(rows[demand.spec.id], demand.spec, demand.due_in_s))
-    mine = [number for number, demand in enumerate(queue)
-            if rules.needs(demand.spec) and demand.spec.id not in stopped]
+    mine = [number for number, demand in enumerate(queue) if rules.needs(demand.spec) and demand.spec.id not in stopped]
     if not mine:
         return []
-    queue = [Demand(one.spec, max(0, one.count - promised[one.spec.id]), one.due_in_s, one.run_s, one.zone)
-             for one in queue[:mine[-1] + 1]]
+    queue = [
+        Demand(one.spec, max(0, one.count - promised[one.spec.id]), one.due_in_s, one.run_s, one.zone)
+        for one in queue[: mine[-1] + 1]
+    ]
     lacking = Walk(resources, queue).lacking()
     result = []
     for number in mine:
--- a/alderbridge/urgency/rules.py
+++ b/alderbridge/urgency/rules.py
@@ -47,9 +47,11 @@
 
     def limit(self, need: Need) -> Limit:
         classes = self.classes(need.spec) or []
-        return Limit(min((one.stops_a_minute for one in classes), default=0),
-                     min((one.stops_at_once for one in classes), default=0),
-                     min((one.share for one in classes), default=0.0))
+        return Limit(
+            min((one.stops_a_minute for one in classes), default=0),
+            min((one.stops_at_once for one in classes), default=0),
+            min((one.share for one in classes), default=0.0),
+        )
 
     def allowed(self, need: Need, victim: Victim) -> bool:
         """The protocol first, then each text; replicas stop only for replicas."""
@@ -58,17 +60,23 @@
             return False
         if not allowed(need.spec, need.guaranteed, victim.spec, self.teams.beyond(victim.spec)):
             return False
-        return all(mine.names(other) and other.preemptible and victim.ran_s >= other.least_run_s
-                   and victim.stops < other.most_stops and victim.since_stop_s <= other.waits_at_most_s
-                   for mine, other in zip(ours, theirs, strict=True))
+        return all(
+            mine.names(other)
+            and other.preemptible
+            and victim.ran_s >= other.least_run_s
+            and victim.stops < other.most_stops
+            and victim.since_stop_s <= other.waits_at_most_s
+            for mine, other in zip(ours, theirs, strict=True)
+        )
 
     def look(self, desk: Desk, now: float) -> list[Need]:
         ledger, leader = desk.ledger, desk.leader
         rows = desk.queue_rows()
         if not any(self.needs(spec) for job in rows if (spec := leader.replica.spec(job)) is not None):
             return []
-        return needs(self, leader.demands(now), rows, leader.outlook(now, ledger.entries), desk.promised(),
-                     ledger.stops)
+        return needs(
+            self, leader.demands(now), rows, leader.outlook(now, ledger.entries), desk.promised(), ledger.stops
+        )
 
     shown = preemptible  # parts tell the leader of these
 
--- a/alderbridge/view.py
+++ b/alderbridge/view.py
@@ -109,8 +109,9 @@
         self.view, self.mandate = view, stamp
         # The answer before the one that brings it did not have it, and it was written after the permit in it was given.
         mine = view.members.get(self.me) == self.hold.permit
-        self.contact.enter(view.members, view.contact_s,
-                           max(self.asked_before, self.hold.begun_at if mine else float("-inf")))
+        self.contact.enter(
+            view.members, view.contact_s, max(self.asked_before, self.hold.begun_at if mine else float("-inf"))
+        )
         self.contact.unheard_s = self.hold.ttl_s + c.PROOF_MARGIN_S if view.loose else 0.0
         self.homes, self.parts = {}, {}
         self.alike = self.all_run(c.RECOVERY)
@@ -167,8 +168,9 @@
         From the members' own keys in the store, so nothing depends on messages between them.
         """
         present = {label: permit for label, (permit, _) in self.present.items()}
-        return (all(present.get(label) == permit for label, permit in self.view.members.items())
-                and all(self.generations[label] >= generation for label in present))
+        return all(present.get(label) == permit for label, permit in self.view.members.items()) and all(
+            self.generations[label] >= generation for label in present
+        )
 
     def _all_here(self, alive: dict[str, int], now: float) -> bool:
         """Whether no other newcomer is to be expected: those that fell together return within a second or two.
@@ -209,14 +211,19 @@
         if mine is None or mine[0] != self.hold.permit or now >= self.hold.valid_until:
             return None
         members, leader = self.view.members, self.view.leader
-        gone = sorted(label for label in self.contact.gone()
-                      if self.present.get(label, (0, 0))[0] == members[label])[:most]
+        gone = sorted(label for label in self.contact.gone() if self.present.get(label, (0, 0))[0] == members[label])[
+            :most
+        ]
         if self.me in gone:
             return None
-        alive = {label: permit for label, (permit, _) in self.present.items()
-                 if label not in gone and label not in self.contact.avoided}
-        stamps = {label: self.present[label][1] if label in alive or label in gone else 0
-                  for label in {*alive, *members}}
+        alive = {
+            label: permit
+            for label, (permit, _) in self.present.items()
+            if label not in gone and label not in self.contact.avoided
+        }
+        stamps = {
+            label: self.present[label][1] if label in alive or label in gone else 0 for label in {*alive, *members}
+        }
         renewed = self._renewed(alive, now)
         if renewed is not None:
             return renewed, stamps
@@ -256,6 +263,10 @@
             return None
         wanted = self._contact_for(alive)
         stuck = contact.stuck_at is not None and now - contact.stuck_at >= c.CONTACT_STUCK_S
-        again = (not view.contact_s and wanted > 0 and contact.whole_at is not None
-                 and now - contact.whole_at >= c.CONTACT_AGAIN_S)
+        again = (
+            not view.contact_s
+            and wanted > 0
+            and contact.whole_at is not None
+            and now - contact.whole_at >= c.CONTACT_AGAIN_S
+        )
         return View(self.me, alive, wanted) if stuck or again else None
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -13,10 +13,28 @@
 from alderbridge.poll import Poll
 from alderbridge.store import JOBS
 
-JOB = {"id": "wk-000412", "workload": "train", "owner": "bound", "shape": "sweep", "urgency": "high", "parts": 16,
-       "vcpus": 2.0, "accelerators": 0.0, "mem_gb": 4.0, "bundle": "img-07", "image_gb": 6.2, "flavours": ["small"],
-       "site": "b", "together": True, "apart": False, "standby": True, "expected_s": 240.0, "snapshot_every_s": 30.0,
-       "snapshot_s": 4.0, "due_s": 900.0}
+JOB = {
+    "id": "wk-000412",
+    "workload": "train",
+    "owner": "bound",
+    "shape": "sweep",
+    "urgency": "high",
+    "parts": 16,
+    "vcpus": 2.0,
+    "accelerators": 0.0,
+    "mem_gb": 4.0,
+    "bundle": "img-07",
+    "image_gb": 6.2,
+    "flavours": ["small"],
+    "site": "b",
+    "together": True,
+    "apart": False,
+    "standby": True,
+    "expected_s": 240.0,
+    "snapshot_every_s": 30.0,
+    "snapshot_s": 4.0,
+    "due_s": 900.0,
+}
 MAY_BE_NULL = {"flavours", "site", "due_s", "waits_on"}
 AMOUNTS = ["vcpus", "accelerators", "mem_gb", "image_gb", "expected_s", "snapshot_every_s", "snapshot_s", "due_s"]
 TEXTS = ["id", "workload", "owner", "shape", "urgency", "bundle", "site"]
@@ -53,23 +71,36 @@
 for value in ("wk-", "wk-x", "job-1", "wk-1234567890123456789", "wk-1/0", "wk-1\n", " wk-1"):
     BAD[f"id {value!r}"] = 400, body({"id": value})
 BAD |= {
-    "vcpus 0": (400, body({"vcpus": 0})), "shape other": (400, body({"shape": "array"})),
-    "urgency other": (400, body({"urgency": "Low"})), "cut short": (400, body({})[:-9]),
+    "vcpus 0": (400, body({"vcpus": 0})),
+    "shape other": (400, body({"shape": "array"})),
+    "urgency other": (400, body({"urgency": "Low"})),
+    "cut short": (400, body({})[:-9]),
     "not UTF-8": (400, body({"bundle": "RAW"}, raw='"\xe9"').replace(b"\xc3\xa9", b"\xe9")),
-    "nested": (400, body({"site": "RAW"}, raw="[" * 20_000 + "]" * 20_000)), "a list": (400, b"[" + body({}) + b"]"),
-    "nothing": (400, b""), "null": (400, b"null"), "a text": (400, b'"wk-000412"'), "two": (400, body({}) * 2),
-    "unknown team": (422, body({"owner": "nobody"})), "unknown type": (422, body({"flavours": ["huge"]})),
-    "unknown zone": (422, body({"site": "z"})), "no type allowed": (422, body({"flavours": []})),
+    "nested": (400, body({"site": "RAW"}, raw="[" * 20_000 + "]" * 20_000)),
+    "a list": (400, b"[" + body({}) + b"]"),
+    "nothing": (400, b""),
+    "null": (400, b"null"),
+    "a text": (400, b'"wk-000412"'),
+    "two": (400, body({}) * 2),
+    "unknown team": (422, body({"owner": "nobody"})),
+    "unknown type": (422, body({"flavours": ["huge"]})),
+    "unknown zone": (422, body({"site": "z"})),
+    "no type allowed": (422, body({"flavours": []})),
     "fits another type": (422, body({"vcpus": 8.0, "owner": "free"})),
-    "fits no type": (422, body({"flavours": None, "mem_gb": 65.0})), "GPUs": (422, body({"accelerators": 1.0})),
+    "fits no type": (422, body({"flavours": None, "mem_gb": 65.0})),
+    "GPUs": (422, body({"accelerators": 1.0})),
     "fits in another zone": (422, body({"flavours": ["one_zone"], "owner": "free"})),
     "a task beyond the limit": (422, body({"flavours": ["wide"], "vcpus": 17.0, "parts": 1})),
     "a service beyond the limit": (422, body({"shape": "standing", "parts": 9})),
 }
-GOOD = {"as it is": body({}), "a service within its limit": body({"shape": "standing", "parts": 8}),
-        "nulls": body({"flavours": None, "site": None, "due_s": None, "waits_on": None}),
-        "left out": msgspec.json.encode({key: value for key, value in JOB.items() if key not in MAY_BE_NULL}),
-        "the most parts": body({"parts": 100_000}), "another field": body({"colour": [{}]})}
+GOOD = {
+    "as it is": body({}),
+    "a service within its limit": body({"shape": "standing", "parts": 8}),
+    "nulls": body({"flavours": None, "site": None, "due_s": None, "waits_on": None}),
+    "left out": msgspec.json.encode({key: value for key, value in JOB.items() if key not in MAY_BE_NULL}),
+    "the most parts": body({"parts": 100_000}),
+    "another field": body({"colour": [{}]}),
+}
 
 
 @pytest.fixture
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -66,8 +66,10 @@
         def checked(conditions, puts, drops=(), permit=None):
             answer = commit(conditions, puts, drops, permit)
             if not answer.failed:
-                self.stored({k[len(CLAIMS):]: v for k, v in puts.items() if k.startswith(CLAIMS)},
-                            [k[len(CLAIMS):] for k in drops if k.startswith(CLAIMS)])
+                self.stored(
+                    {k[len(CLAIMS) :]: v for k, v in puts.items() if k.startswith(CLAIMS)},
+                    [k[len(CLAIMS) :] for k in drops if k.startswith(CLAIMS)],
+                )
             return answer
 
         self.store.commit = checked
@@ -83,16 +85,32 @@
     def routine(self, number: int) -> wire.JobSpec:
         rng, saves = self.rng, self.rng.random() < 0.5
         return msgspec.structs.replace(
-            self.make_job(number), kind="sweep", priority=rng.choice(["best_effort", "standard"]), spot=True,
-            team=rng.choice(["free"] * 4 + ["bound"]), tasks=rng.randint(4, 16), estimate_s=rng.uniform(15.0, 40.0),
-            types=None, one_zone=False, spread=False, checkpoint_s=5.0 if saves else 0.0,
-            save_s=rng.uniform(0.2, 3.0) if saves else 0.0)
+            self.make_job(number),
+            kind="sweep",
+            priority=rng.choice(["best_effort", "standard"]),
+            spot=True,
+            team=rng.choice(["free"] * 4 + ["bound"]),
+            tasks=rng.randint(4, 16),
+            estimate_s=rng.uniform(15.0, 40.0),
+            types=None,
+            one_zone=False,
+            spread=False,
+            checkpoint_s=5.0 if saves else 0.0,
+            save_s=rng.uniform(0.2, 3.0) if saves else 0.0,
+        )
 
     def urgent(self, number: int) -> wire.JobSpec:
         return msgspec.structs.replace(
-            self.make_job(number), kind="sweep", job_class="soon", priority=self.rng.choice(["high", "production"]),
-            tasks=self.rng.randint(2, 6), estimate_s=self.rng.uniform(5.0, 30.0), spot=True, one_zone=False,
-            spread=False)
+            self.make_job(number),
+            kind="sweep",
+            job_class="soon",
+            priority=self.rng.choice(["high", "production"]),
+            tasks=self.rng.randint(2, 6),
+            estimate_s=self.rng.uniform(5.0, 30.0),
+            spot=True,
+            one_zone=False,
+            spread=False,
+        )
 
     def run_time(self, part: str) -> float:
         return self.left_s.setdefault(part, super().run_time(part))
@@ -129,25 +147,37 @@
 
     def lasting_room(self, spec: wire.JobSpec) -> int:
         """Tasks that would have fitted all these seconds."""
-        return sum(min(fits(spec, free[name]) if name in free else 0 for _, _, free in self.waiting)
-                   for name, worker in self.machines.items() if worker is not None and name not in self.open
-                   and allowed(spec, worker.kind.type, worker.kind.zone, worker.kind.spot))
+        return sum(
+            min(fits(spec, free[name]) if name in free else 0 for _, _, free in self.waiting)
+            for name, worker in self.machines.items()
+            if worker is not None
+            and name not in self.open
+            and allowed(spec, worker.kind.type, worker.kind.zone, worker.kind.spot)
+        )
 
     def within_guarantee(self, job: str) -> bool:
         """Whether it fits its team's guarantee along with the team's earlier unfinished jobs."""
         guarantee = next(team.cpus for team in TEAMS if team.name == self.specs[job].team)
         records = {name: msgspec.json.decode(self.store.data[JOBS + name][0], type=Record) for name in self.accepted}
-        taken = sum((self.specs[name].tasks - sum(high - low for low, high in record.done)) * self.specs[name].cpus
-                    for name, record in records.items() if record.state is JobState.ACTIVE
-                    and self.specs[name].team == self.specs[job].team and record.at <= records[job].at)
+        taken = sum(
+            (self.specs[name].tasks - sum(high - low for low, high in record.done)) * self.specs[name].cpus
+            for name, record in records.items()
+            if record.state is JobState.ACTIVE
+            and self.specs[name].team == self.specs[job].team
+            and record.at <= records[job].at
+        )
         return guarantee > 0 and taken <= guarantee + 1e-9
 
     def there(self, machine: str, claim: claims.Claim) -> int:
         """Victims still on the machine, as the same attempt."""
         worker = self.machines.get(machine)
         tasks = worker.tasks if worker is not None else {}
-        return sum(f"{job}/{index}" in tasks and tasks[f"{job}/{index}"].attempt == attempt
-                   and tasks[f"{job}/{index}"].status != "ended" for job, index, attempt in claim.victims)
+        return sum(
+            f"{job}/{index}" in tasks
+            and tasks[f"{job}/{index}"].attempt == attempt
+            and tasks[f"{job}/{index}"].status != "ended"
+            for job, index, attempt in claim.victims
+        )
 
     def stored(self, new: dict, gone: list[str]) -> None:
         for machine in gone:
@@ -163,8 +193,11 @@
 
     def may_claim(self, machine: str, claim: claims.Claim) -> None:
         need, team = self.specs[claim.job], self.specs[claim.job].team
-        made_for = sum(other.count for name, other in self.open.items()
-                       if other.job == claim.job and (name == machine or self.there(name, other)))
+        made_for = sum(
+            other.count
+            for name, other in self.open.items()
+            if other.job == claim.job and (name == machine or self.there(name, other))
+        )
         if self.said.get(claim.job) == "done" or made_for > self.lately_waiting(claim.job):
             raise Broken(f"no_need: {claim.job} at {self.t:.2f}: {made_for} for {self.lately_waiting(claim.job)}")
         if any(task == claim.job for task, _ in self.victims):
@@ -175,8 +208,11 @@
             lower = wire.PRIORITIES.index(spec.priority) < wire.PRIORITIES.index(need.priority)
             if not lower and not (spec.team != team and self.within_guarantee(claim.job)):
                 raise Broken(f"preemption: {job} ({spec.priority}) for {claim.job} ({need.priority})")
-            if any((job, index, attempt) in map(tuple, other.victims) for name, other in self.open.items()
-                   if name != machine):
+            if any(
+                (job, index, attempt) in map(tuple, other.victims)
+                for name, other in self.open.items()
+                if name != machine
+            ):
                 raise Broken(f"victim_twice: {job}/{index}")
             self.claimed.add((f"{job}/{index}", attempt))
             self.victims[(job, index)] += 1
@@ -291,9 +327,17 @@
     monkeypatch.setattr(rules, "needs", lambda *args: real(*args[:-1], ()))
 
 
-@pytest.mark.parametrize("fault, told, first", [
-    (halted_before_stored, "unclaimed", 1), (budget_not_stored, "budget", 1), (claims_forgotten, "claims_left", 2),
-    (protocol_not_asked, "preemption", 1), (promises_not_counted, "no_need", 1), (victims_preempt, "cascade", 19)])
+@pytest.mark.parametrize(
+    "fault, told, first",
+    [
+        (halted_before_stored, "unclaimed", 1),
+        (budget_not_stored, "budget", 1),
+        (claims_forgotten, "claims_left", 2),
+        (protocol_not_asked, "preemption", 1),
+        (promises_not_counted, "no_need", 1),
+        (victims_preempt, "cascade", 19),
+    ],
+)
 def test_each_guard_is_seen_to_fail_when_it_is_broken(monkeypatch, fault, told, first):
     fault(monkeypatch)
     for seed in (first, *range(40)):
@@ -311,9 +355,20 @@
 
 
 def job(name, rank="standard", cpus=2.0, **more):
-    return wire.JobSpec(id=f"wk-{name}", job_class="x", team=more.pop("team", "t"), kind=more.pop("kind", "sweep"),
-                        priority=rank, tasks=more.pop("tasks", 8), cpus=cpus, memory_gb=1.0, image="i", image_gb=1.0,
-                        estimate_s=more.pop("estimate_s", 100.0), **more)
+    return wire.JobSpec(
+        id=f"wk-{name}",
+        job_class="x",
+        team=more.pop("team", "t"),
+        kind=more.pop("kind", "sweep"),
+        priority=rank,
+        tasks=more.pop("tasks", 8),
+        cpus=cpus,
+        memory_gb=1.0,
+        image="i",
+        image_gb=1.0,
+        estimate_s=more.pop("estimate_s", 100.0),
+        **more,
+    )
 
 
 def held(name, *victims, cpus=8.0):
@@ -341,15 +396,21 @@
     groups = pick(urgent, 1, held("a", old, near, cpus=4.0), held("b", young, saving, cpus=4.0))
     assert stopped(groups) == {("wk-2", 0)} and groups[0]["b"].wind_down_s == 4.0
     assert stopped(pick(urgent, 2, held("a", old, near, cpus=4.0), held("b", young, saving, cpus=4.0))) == {
-        ("wk-2", 0), ("wk-1", 0)}
+        ("wk-2", 0),
+        ("wk-1", 0),
+    }
     assert not pick(urgent, 1, held("a", near, cpus=2.0))
 
 
 def test_a_large_task_takes_one_machine_and_no_more_victims_than_it_needs():
     small, big = job("1", cpus=1.0), job("2", cpus=6.0)
     tasks = [Victim("wk-1", i, 1, small, 5.0) for i in range(8)]
-    groups = pick(job("9", "high", cpus=8.0), 1, held("a", *tasks[:2], Victim("wk-2", 0, 1, big, 20.0)),
-                  held("b", *tasks[2:6], cpus=4.0))
+    groups = pick(
+        job("9", "high", cpus=8.0),
+        1,
+        held("a", *tasks[:2], Victim("wk-2", 0, 1, big, 20.0)),
+        held("b", *tasks[2:6], cpus=4.0),
+    )
     assert list(groups[0]) == ["a"] and len(groups[0]["a"].victims) == 3
     one = pick(job("9", "high", cpus=6.0), 1, held("a", *tasks[:2], Victim("wk-2", 0, 1, big, 20.0)))
     assert stopped(one) == {("wk-2", 0)}  # the small ones would not make the room
@@ -409,13 +470,17 @@
 # -- the declaration ------------------------------------------------------------
 
 
-@pytest.mark.parametrize("change, told", [
-    (("[class */urgent]", "[class urgent]"), "expected [class OWNER/NAME]"),
-    (("preempt = *", "preempt = routin"), "no class is named 'routin'"),
-    (("most stops = 2", "most stops = -1"), "most stops: expected a whole number from 0 to 1000, got '-1'"),
-    (("high, production", "urgent"), "urgency: expected some of"),
-    (("preemptible = yes", "preemptible = on"), "yes or no"),
-    (("least run = 2", "least = 2"), "least: no such setting")])
+@pytest.mark.parametrize(
+    "change, told",
+    [
+        (("[class */urgent]", "[class urgent]"), "expected [class OWNER/NAME]"),
+        (("preempt = *", "preempt = routin"), "no class is named 'routin'"),
+        (("most stops = 2", "most stops = -1"), "most stops: expected a whole number from 0 to 1000, got '-1'"),
+        (("high, production", "urgent"), "urgency: expected some of"),
+        (("preemptible = yes", "preemptible = on"), "yes or no"),
+        (("least run = 2", "least = 2"), "least: no such setting"),
+    ],
+)
 def test_a_faulty_declaration_is_one_line(change, told):
     with pytest.raises(ConfigError, match=f"^p.ini: .*{re.escape(told)}") as fault:
         declared(INI.replace(*change))
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -22,6 +22,7 @@
 
     def thawed(self, call, *args):
         """Not before it goes on, and not in its next life."""
+
         def go(life):
             if life == self.life:
                 self.thawed(call, *args)
@@ -41,8 +42,9 @@
         self.thawed(super().beat, raw, reply)
 
     def call(self, then, fail, method, *args, too_large=None):
-        super().call(lambda answer: self.thawed(then, answer), lambda: self.thawed(fail), method, *args,
-                     too_large=too_large)
+        super().call(
+            lambda answer: self.thawed(then, answer), lambda: self.thawed(fail), method, *args, too_large=too_large
+        )
 
     def flush(self):
         """What a cut link is given is lost, or held back until the cut ends."""
@@ -129,6 +131,7 @@
 
 # -- random runs ---------------------------------------------------------------
 
+
 @pytest.mark.parametrize("seed", range(11000, 11012))
 def test_whom_a_view_has_left_out_acts_no_more_and_all_act_again_in_the_end(seed):
     world = Ties(seed, nodes=3 + 2 * (seed % 2), mishaps=6)
@@ -172,8 +175,16 @@
     monkeypatch.setattr(Contact, "enter", lambda self, members, for_s, after: real(self, members, for_s, after + 6.0))
 
 
-@pytest.mark.parametrize("fault", [given_up_and_heard_again, counted_from_the_receipt, no_contact_needed,
-                                   given_up_too_soon, grace_from_later_than_the_view])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        given_up_and_heard_again,
+        counted_from_the_receipt,
+        no_contact_needed,
+        given_up_too_soon,
+        grace_from_later_than_the_view,
+    ],
+)
 def test_each_half_of_the_rule_is_seen_to_fail_when_it_is_broken(monkeypatch, fault):
     fault(monkeypatch)
     for seed in range(12000, 12040):
@@ -187,6 +198,7 @@
 
 # -- cases -----------------------------------------------------------------------
 
+
 def restarted_peer(seed):
     """host-1 gives host-0 up, ends, and its next life hears host-0 before the view without it is written.
 
@@ -283,8 +295,10 @@
     assert contact.dropped() == ["c"] and contact.until > 26.9, "b misses it, too"
 
 
-@pytest.mark.parametrize("generations, asked", [
-    ([c.CONTACT] * 3, True), ([c.CONTACT, c.CONTACT, c.CONTACT - 1], False), ([c.CONTACT] * 2, False)])
+@pytest.mark.parametrize(
+    "generations, asked",
+    [([c.CONTACT] * 3, True), ([c.CONTACT, c.CONTACT, c.CONTACT - 1], False), ([c.CONTACT] * 2, False)],
+)
 def test_a_view_asks_for_contact_only_of_three_that_all_know_of_it(generations, asked):
     membership = Membership("host-0", 20.0)
     membership.hold.renewed(1, 0.0)
--- a/tests/test_declared.py
+++ b/tests/test_declared.py
@@ -47,16 +47,23 @@
 GOOD = "[declaration]\nrevision = 3\n[words]\na = closed\nb = on Sundays\n"
 
 
-@pytest.mark.parametrize("text, fault", [
-    ("[words]\na = b\n", "[declaration]: no such section, expected one with the key revision"),
-    ("[declaration]\n", "[declaration] revision: expected a whole number from 1 with no more than 15 digits, got ''"),
-    ("[declaration]\nrevision = 0\n", "expected a whole number from 1 with no more than 15 digits, got '0'"),
-    ("[declaration]\nrevision = 1.5\n", "expected a whole number from 1 with no more than 15 digits, got '1.5'"),
-    ("[declaration]\nrevision = 1\nauthor = x\n", "[declaration] author: no such setting"),
-    ("[declaration]\nrevision = 1\n[wrods]\na = b\n", "[wrods]: no such section"),
-    ("revision = 1\n", "not an INI file: "),
-    ("[declaration]\nrevision = 1\n[words]\na = " + "x" * c.DECLARED_BYTES, "bytes when compiled, got"),
-    (None, "cannot be read: No such file or directory")])
+@pytest.mark.parametrize(
+    "text, fault",
+    [
+        ("[words]\na = b\n", "[declaration]: no such section, expected one with the key revision"),
+        (
+            "[declaration]\n",
+            "[declaration] revision: expected a whole number from 1 with no more than 15 digits, got ''",
+        ),
+        ("[declaration]\nrevision = 0\n", "expected a whole number from 1 with no more than 15 digits, got '0'"),
+        ("[declaration]\nrevision = 1.5\n", "expected a whole number from 1 with no more than 15 digits, got '1.5'"),
+        ("[declaration]\nrevision = 1\nauthor = x\n", "[declaration] author: no such setting"),
+        ("[declaration]\nrevision = 1\n[wrods]\na = b\n", "[wrods]: no such section"),
+        ("revision = 1\n", "not an INI file: "),
+        ("[declaration]\nrevision = 1\n[words]\na = " + "x" * c.DECLARED_BYTES, "bytes when compiled, got"),
+        (None, "cannot be read: No such file or directory"),
+    ],
+)
 def test_each_fault_of_a_file_is_one_line(tmp_path, text, fault):
     path = tmp_path / "hours.ini"
     if text is not None:
@@ -78,8 +85,11 @@
     out = capsys.readouterr().out
     assert "hours: revision 3, digest " in out and "  words: closed on Sundays" in out
     assert "lending: revision 4, digest " in out and "nothing is declared any more" in out
-    for line, fault in (("hours = none.ini", "none.ini: cannot be read"), ("hours =", "expected the path of a file"),
-                        ("ours = x.ini", "[declared] ours: no such setting")):
+    for line, fault in (
+        ("hours = none.ini", "none.ini: cannot be read"),
+        ("hours =", "expected the path of a file"),
+        ("ours = x.ini", "[declared] ours: no such setting"),
+    ):
         ini.write_text(f"[declared]\n{line}\n")
         assert cli.main(["--config", str(platform), "--settings", str(ini), "--check"]) == 2
         assert fault in capsys.readouterr().err
@@ -96,6 +106,7 @@
 
 # -- one process
 
+
 def change(declarations, now, stamp, **puts):
     for kind, head in puts.items():
         declarations.apply(DECLARED + kind, msgspec.json.encode(head), stamp)
@@ -249,8 +260,9 @@
         alone = {obeyed[0] for obeyed in lists.values() if len(obeyed) == 1 and obeyed[0] > 0}
         for revision in alone:
             behind = [label for label, obeyed in lists.items() if obeyed[-1] < revision]
-            if (behind or revision not in self.alone_at) and self.acts(label for label in lists
-                                                                       if lists[label] == [revision]):
+            if (behind or revision not in self.alone_at) and self.acts(
+                label for label in lists if lists[label] == [revision]
+            ):
                 self.alone_at.setdefault(revision, self.t)
                 if self.acts(behind):
                     raise Broken(f"older_alone: {lists}, one of {behind} acts beside {revision} alone at {self.t:.2f}")
@@ -331,14 +343,18 @@
 
 def test_who_starts_in_mid_change_obeys_both(monkeypatch):
     """In random runs who is cut off is replaced too soon to be seen beside one that obeys the newer alone."""
+
     def obeyed():
         node = World(1, jobs=0, trouble=False).nodes["host-0"].node
         node.follow_hours = lambda: None
         first, second = (Revision(one.revision, one.digest, records.parts_of(one.text, 512)) for one in FILES)
-        rows = [wire.Row(key, msgspec.Raw(msgspec.json.encode(piece)), 1)
-                for named, one in zip((first, second), FILES, strict=True)
-                for key, piece in zip(records.piece_keys("hours", named), records.pieces(one.text, named.parts),
-                                      strict=True)]
+        rows = [
+            wire.Row(key, msgspec.Raw(msgspec.json.encode(piece)), 1)
+            for named, one in zip((first, second), FILES, strict=True)
+            for key, piece in zip(
+                records.piece_keys("hours", named), records.pieces(one.text, named.parts), strict=True
+            )
+        ]
         rows.append(wire.Row(records.head_key("hours"), msgspec.Raw(msgspec.json.encode(head_of(second, first))), 2))
         node.load(rows, [], 5, 0.0, 0.0)
         return node.declared.in_force("hours", 1.0)
@@ -376,8 +392,11 @@
 
 
 def texts_of_others_dropped(monkeypatch):
-    monkeypatch.setattr(machine._Declaration, "_unnamed", lambda self, named: [
-        key for key in self.pieces if key not in records.piece_keys(self.kind, named[-1])])
+    monkeypatch.setattr(
+        machine._Declaration,
+        "_unnamed",
+        lambda self, named: [key for key in self.pieces if key not in records.piece_keys(self.kind, named[-1])],
+    )
 
 
 def head_not_asserted(monkeypatch):
@@ -412,11 +431,19 @@
     monkeypatch.setattr(Membership, "leads", lambda self, now: False)
 
 
-@pytest.mark.parametrize("fault, rule, first", [
-    (in_force_at_once, "older_alone", 300), (settled_at_once, "older_alone", 300),
-    (head_before_texts, "torn", 305), (texts_of_others_dropped, "torn", 300),
-    (head_not_asserted, "older_wins", 306), (older_file_wins, "older_wins", 300), (never_settled, "not_in_force", 300),
-    (older_versions_not_waited_for, "older_alone", 311)])
+@pytest.mark.parametrize(
+    "fault, rule, first",
+    [
+        (in_force_at_once, "older_alone", 300),
+        (settled_at_once, "older_alone", 300),
+        (head_before_texts, "torn", 305),
+        (texts_of_others_dropped, "torn", 300),
+        (head_not_asserted, "older_wins", 306),
+        (older_file_wins, "older_wins", 300),
+        (never_settled, "not_in_force", 300),
+        (older_versions_not_waited_for, "older_alone", 311),
+    ],
+)
 def test_each_rule_is_seen_to_fail_when_the_code_is_broken(monkeypatch, fault, rule, first):
     fault(monkeypatch)
     for seed in range(first, first + 100):  # the first one, mostly
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -14,8 +14,21 @@
 
 
 def spec(job, priority="standard", estimate_s=10.0, due_s=None, **more):
-    return JobSpec(id=job, job_class="x", team="t", kind="sweep", priority=priority, tasks=1, cpus=1.0,
-                   memory_gb=1.0, image="i", image_gb=1.0, estimate_s=estimate_s, due_s=due_s, **more)
+    return JobSpec(
+        id=job,
+        job_class="x",
+        team="t",
+        kind="sweep",
+        priority=priority,
+        tasks=1,
+        cpus=1.0,
+        memory_gb=1.0,
+        image="i",
+        image_gb=1.0,
+        estimate_s=estimate_s,
+        due_s=due_s,
+        **more,
+    )
 
 
 class History:
@@ -31,8 +44,10 @@
         return any(self.ends.get(need, ("",))[0] != "done" for need in self.needs[job])
 
     def doomed(self, job):
-        return any(self.ends.get(need, ("",))[0] == "aborted" or need in self.needs and self.doomed(need)
-                   for need in self.needs[job])
+        return any(
+            self.ends.get(need, ("",))[0] == "aborted" or need in self.needs and self.doomed(need)
+            for need in self.needs[job]
+        )
 
     def ready_at(self, job):
         return max([self.at[job], *(self.ends[need][1] for need in self.needs[job])])
@@ -59,8 +74,12 @@
             job = f"wk-{step}"
             needs = rng.sample(sorted(past.needs), min(len(past.needs), rng.choice([0, 1, 1, 2, 3])))
             past.needs[job], past.at[job] = needs, now
-            past.specs[job] = spec(job, rng.choice(["best_effort", "standard", "high"]), rng.uniform(1.0, 9.0),
-                                   rng.choice([None, None, 50.0, 80.0]))
+            past.specs[job] = spec(
+                job,
+                rng.choice(["best_effort", "standard", "high"]),
+                rng.uniform(1.0, 9.0),
+                rng.choice([None, None, 50.0, 80.0]),
+            )
             late.append(job)
         else:
             job = rng.choice(open_ones)
@@ -117,8 +136,9 @@
 def test_times_count_from_readiness_and_the_deadline_from_submission():
     objectives = [Objective("wait", "x", within_s=40.0), Objective("deadline", "x", times=1.0)]
     times = policy.queue_times(spec("wk-1", due_s=100.0), Tuning(), objectives, False, waited_s=30.0)
-    assert times == sorted([(40.0 * c.WAIT_SHARE, 40.0),
-                            (100.0 - 10.0 * c.RUN_SAFETY - 30.0, 100.0 - 10.0 * c.RUN_LUCK - 30.0)])
+    assert times == sorted(
+        [(40.0 * c.WAIT_SHARE, 40.0), (100.0 - 10.0 * c.RUN_SAFETY - 30.0, 100.0 - 10.0 * c.RUN_LUCK - 30.0)]
+    )
     asked = policy.queue_times(spec("wk-1"), Tuning(), [], False, needed_s=[60.0])
     assert asked == [(60.0 - 10.0 * c.RUN_SAFETY, 60.0 - 10.0 * c.RUN_LUCK)]
 
@@ -132,9 +152,11 @@
 
 @pytest.mark.parametrize("waits_on", ['"wk-1"', "[1]", '["x"]', '["wk-1\\n"]', "{}", "[null]"])
 def test_a_malformed_list_of_jobs_is_refused(waits_on):
-    body = ('{"id":"wk-2","workload":"w","owner":"t","shape":"sweep","urgency":"high","parts":1,"vcpus":1.0,'
-            '"accelerators":0.0,"mem_gb":1.0,"bundle":"i","image_gb":1.0,"together":false,"apart":false,'
-            '"standby":true,"expected_s":5.0,"snapshot_every_s":0.0,"snapshot_s":0.0,"waits_on":%s}')
+    body = (
+        '{"id":"wk-2","workload":"w","owner":"t","shape":"sweep","urgency":"high","parts":1,"vcpus":1.0,'
+        '"accelerators":0.0,"mem_gb":1.0,"bundle":"i","image_gb":1.0,"together":false,"apart":false,'
+        '"standby":true,"expected_s":5.0,"snapshot_every_s":0.0,"snapshot_s":0.0,"waits_on":%s}'
+    )
     assert parse_job((body % "null").encode()).needs is None
     with pytest.raises(Malformed):
         parse_job((body % waits_on).encode())
--- a/tests/test_flapping.py
+++ b/tests/test_flapping.py
@@ -32,8 +32,11 @@
 
 
 def lacking(world):
-    return [job for job in world.accepted if job not in world.said and not world.specs[job].service
-            and job not in world.cancelled_at]
+    return [
+        job
+        for job in world.accepted
+        if job not in world.said and not world.specs[job].service and job not in world.cancelled_at
+    ]
 
 
 @pytest.mark.parametrize("seed", range(8500, 8504))
@@ -61,6 +64,7 @@
 
 # -- an earlier life -------------------------------------------------------------
 
+
 def a_run(world):
     """A task that runs on a machine of another controller's part than its home."""
     while True:
@@ -113,8 +117,9 @@
 
 def given_up(world, label):
     """A submission whose transaction had no answer, and then the store said 503; and its spec."""
-    spec = msgspec.structs.replace(world.make_job(1), kind="sweep", tasks=2, cpus=1.0, types=None, zone=None,
-                                   one_zone=False, spread=False)
+    spec = msgspec.structs.replace(
+        world.make_job(1), kind="sweep", tasks=2, cpus=1.0, types=None, zone=None, one_zone=False, spread=False
+    )
     node = world.nodes[label].node
     world.specs[spec.id] = spec
     submission = node.submit(spec, world.t, world.t)
@@ -187,9 +192,24 @@
 
 # -- largest jobs --------------------------------------------------------------------
 
-SMALL = wire.JobSpec(id="wk-000001", job_class="small", team="free", kind="sweep", priority="standard", tasks=400,
-                     cpus=2.0, memory_gb=2.0, image="p", image_gb=1.0, estimate_s=20.0, types=["large"], zone=None,
-                     one_zone=False, spread=False, spot=True)
+SMALL = wire.JobSpec(
+    id="wk-000001",
+    job_class="small",
+    team="free",
+    kind="sweep",
+    priority="standard",
+    tasks=400,
+    cpus=2.0,
+    memory_gb=2.0,
+    image="p",
+    image_gb=1.0,
+    estimate_s=20.0,
+    types=["large"],
+    zone=None,
+    one_zone=False,
+    spread=False,
+    spot=True,
+)
 LARGE = msgspec.structs.replace(SMALL, id="wk-999999", job_class="big", tasks=8, cpus=16.0)
 
 
@@ -199,8 +219,13 @@
 
 def test_room_is_kept_for_a_task_that_fits_no_rest_of_a_machine():
     offers = Offers()
-    offers.tell("host-0", [Offer("host-0", row(LARGE, c.KEEP_S, 5.0), LARGE, 100.0, c.GATHER_S),
-                           Offer("host-0", row(SMALL, 5.0, 50.0), SMALL, 100.0, c.GATHER_S)])
+    offers.tell(
+        "host-0",
+        [
+            Offer("host-0", row(LARGE, c.KEEP_S, 5.0), LARGE, 100.0, c.GATHER_S),
+            Offer("host-0", row(SMALL, 5.0, 50.0), SMALL, 100.0, c.GATHER_S),
+        ],
+    )
 
     def asked(cpus, keep):
         machine = Candidate("n-1", "large", "a", True, (cpus, 64.0, 0.0), {})
@@ -218,8 +243,9 @@
     home.join(job)
 
     def told(now):
-        found = home.rows(now, lambda job, now, guaranteed: (60.0, now > 40.0), lambda spec: 20.0, lambda spec: -1, (),
-                          {})[0]
+        found = home.rows(
+            now, lambda job, now, guaranteed: (60.0, now > 40.0), lambda spec: 20.0, lambda spec: -1, (), {}
+        )[0]
         return found.offer, found.turn
 
     assert told(10.0) == (400, 0) and told(c.BEGIN_TURN_S) == (1, 2)
@@ -231,8 +257,13 @@
     home.on_take("host-0", m.Take(3, SMALL.id, "n-1", "a", 30), 184.0, True)
     assert told(185.0) == (349, 0)
     first, other = Offers(), msgspec.structs.replace(LARGE, priority="high")
-    first.tell("host-0", [Offer("host-0", row(other, 5.0, 1.0), other, 100.0, 4.0),
-                          Offer("host-0", row(SMALL, 121.0, 60.0, turn=2), SMALL, 100.0, 4.0)])
+    first.tell(
+        "host-0",
+        [
+            Offer("host-0", row(other, 5.0, 1.0), other, 100.0, 4.0),
+            Offer("host-0", row(SMALL, 121.0, 60.0, turn=2), SMALL, 100.0, 4.0),
+        ],
+    )
     assert [entry[-1].row.job for entry in first.in_order()] == [SMALL.id, LARGE.id]
 
 
@@ -260,6 +291,7 @@
 
 # -- each check is seen to fail ---------------------------------------------------------
 
+
 def former_frames_accepted(monkeypatch):
     def on_frame(self, frame, now):
         self.now = now
@@ -273,6 +305,7 @@
 
 def takes_itself_for_the_one_before(monkeypatch):
     """A member by its label, whatever its permit; so no view follows its return."""
+
     def standing(self, now):
         if self.me not in self.view.members or not self.hold.permit:
             return Standing.OUTSIDE
@@ -280,20 +313,29 @@
 
     real = Membership.next_view
     monkeypatch.setattr(Membership, "standing", standing)
-    monkeypatch.setattr(Membership, "next_view", lambda self, now, most: (
-        None if self.present.keys() == self.view.members.keys() else real(self, now, most)))
+    monkeypatch.setattr(
+        Membership,
+        "next_view",
+        lambda self, now, most: None if self.present.keys() == self.view.members.keys() else real(self, now, most),
+    )
 
 
 def a_doom_that_nobody_tells(monkeypatch):
     real = Job.abort
-    monkeypatch.setattr(Job, "abort", lambda self, now, cause="withdrawn": (
-        real(self, now, cause) if cause == "withdrawn" else None))
+    monkeypatch.setattr(
+        Job, "abort", lambda self, now, cause="withdrawn": real(self, now, cause) if cause == "withdrawn" else None
+    )
     monkeypatch.setattr(Node, "doom_is_common", lambda self, job: False)
 
 
-@pytest.mark.parametrize("fault, rule, more", [
-    (former_frames_accepted, "halted", {}), (takes_itself_for_the_one_before, "lacking", {}),
-    (a_doom_that_nobody_tells, "unanswered", {"pipelines": 5})])
+@pytest.mark.parametrize(
+    "fault, rule, more",
+    [
+        (former_frames_accepted, "halted", {}),
+        (takes_itself_for_the_one_before, "lacking", {}),
+        (a_doom_that_nobody_tells, "unanswered", {"pipelines": 5}),
+    ],
+)
 def test_each_check_is_seen_to_fail_when_the_code_is_broken(monkeypatch, fault, rule, more):
     fault(monkeypatch)
     for seed in range(8900, 8940):
--- a/tests/test_hours.py
+++ b/tests/test_hours.py
@@ -15,8 +15,19 @@
 from alderbridge.hours.timetable import DAY, NEVER, load_zone
 
 ZONES = ("Europe/Oslo", "Europe/London")
-SPEC = wire.JobSpec(id="wk-1", job_class="rebook", team="desk", kind="sweep", priority="high", tasks=1, cpus=1.0,
-                    memory_gb=1.0, image="p", image_gb=0.0, estimate_s=600.0)
+SPEC = wire.JobSpec(
+    id="wk-1",
+    job_class="rebook",
+    team="desk",
+    kind="sweep",
+    priority="high",
+    tasks=1,
+    cpus=1.0,
+    memory_gb=1.0,
+    image="p",
+    image_gb=0.0,
+    estimate_s=600.0,
+)
 
 
 def read(text: str) -> Text:
@@ -56,11 +67,22 @@
     return False
 
 
-spans = st.one_of(st.just([]), st.just([(0, 1440)]), st.lists(
-    st.tuples(st.integers(0, 95), st.integers(1, 95)).map(lambda p: (p[0] * 15, p[0] * 15 + p[1] * 15)), max_size=2))
+spans = st.one_of(
+    st.just([]),
+    st.just([(0, 1440)]),
+    st.lists(
+        st.tuples(st.integers(0, 95), st.integers(1, 95)).map(lambda p: (p[0] * 15, p[0] * 15 + p[1] * 15)), max_size=2
+    ),
+)
 first_day = date(2025, 1, 1)
-hard_days = [date(2026, 3, 28), date(2026, 10, 24), date(2028, 2, 28), date(2028, 12, 31), date(2030, 3, 30),
-             date(2034, 10, 28)]
+hard_days = [
+    date(2026, 3, 28),
+    date(2026, 10, 24),
+    date(2028, 2, 28),
+    date(2028, 12, 31),
+    date(2030, 3, 30),
+    date(2034, 10, 28),
+]
 days = st.one_of(st.sampled_from(hard_days), st.integers(0, 3650).map(lambda n: first_day + timedelta(n)))
 
 
@@ -70,13 +92,24 @@
     near = [day_number(day) + n for n in range(4)]
 
     def calendar(name):
-        return Calendar(name, draw(st.sampled_from(ZONES)), draw(st.lists(spans, min_size=7, max_size=7)),
-                        [(one, draw(spans)) for one in draw(st.sets(st.sampled_from(near), max_size=2))],
-                        sorted(draw(st.sets(st.sampled_from(near), max_size=2))), draw(spans))
+        return Calendar(
+            name,
+            draw(st.sampled_from(ZONES)),
+            draw(st.lists(spans, min_size=7, max_size=7)),
+            [(one, draw(spans)) for one in draw(st.sets(st.sampled_from(near), max_size=2))],
+            sorted(draw(st.sets(st.sampled_from(near), max_size=2))),
+            draw(spans),
+        )
 
     both = [calendar("a"), calendar("b"), Calendar("c", of=draw(st.sampled_from(["all", "any"])), parts=["a", "b"])]
-    rule = Class("desk", "*", draw(st.sampled_from("abc")), draw(st.booleans()), draw(st.sampled_from([0.1, 1.0, 6.0])),
-                 draw(st.booleans()))
+    rule = Class(
+        "desk",
+        "*",
+        draw(st.sampled_from("abc")),
+        draw(st.booleans()),
+        draw(st.sampled_from([0.1, 1.0, 6.0])),
+        draw(st.booleans()),
+    )
     return day, Text(both, [rule]), draw(st.sampled_from([0, 60, 180]))
 
 
@@ -124,8 +157,9 @@
     timetable = table("[calendar c]\nzone = Europe/Oslo\nsun = 02:15-02:45")
     assert [may(timetable, at(2026, 10, 25, 2, 30, fold=fold)) for fold in (0, 1)] == [True, True]
     between = at(2026, 10, 25, 2, 50)
-    assert not may(timetable, between) and timetable.look(SPEC, between, 0.0).opens_at == at(2026, 10, 25, 2, 15,
-                                                                                             fold=1)
+    assert not may(timetable, between) and timetable.look(SPEC, between, 0.0).opens_at == at(
+        2026, 10, 25, 2, 15, fold=1
+    )
     spring = at(2026, 3, 28, 12, 0)
     assert timetable.look(SPEC, spring, 0.0).opens_at == at(2026, 4, 5, 2, 15)  # on 29 March there is no such time
     night = table("[calendar c]\nzone = Europe/Oslo\nsat = 22:00-06:00")
@@ -143,9 +177,11 @@
 
 
 def test_29_february_easter_and_a_holiday_in_one_zone_only():
-    hours = ("[calendar c]\nzone = Europe/Oslo\nmon-sun = 08:00-16:00\nholidays = NO\nholiday years = 2026-2030\n"
-             "2028-02-29 = 10:00-11:00\n[calendar d]\nzone = Europe/London\nmon-sun = all day\nholidays = GB-ENG\n"
-             "holiday years = 2026-2030\n[calendar both]\nall of = c, d")
+    hours = (
+        "[calendar c]\nzone = Europe/Oslo\nmon-sun = 08:00-16:00\nholidays = NO\nholiday years = 2026-2030\n"
+        "2028-02-29 = 10:00-11:00\n[calendar d]\nzone = Europe/London\nmon-sun = all day\nholidays = GB-ENG\n"
+        "holiday years = 2026-2030\n[calendar both]\nall of = c, d"
+    )
     timetable, both = table(hours), table(hours, name="both")
     assert not may(timetable, at(2028, 2, 29, 9, 0)) and may(timetable, at(2028, 2, 29, 10, 0))
     assert may(timetable, at(2028, 3, 1, 9, 0))
@@ -250,16 +286,20 @@
 
 
 def test_check_shows_the_next_openings():
-    text = read("[calendar c]\nzone = Europe/Oslo\nmon-fri = 08:00-16:00\n[class desk/*]\ncalendar = c\n"
-                "end before closing = yes")
+    text = read(
+        "[calendar c]\nzone = Europe/Oslo\nmon-fri = 08:00-16:00\n[class desk/*]\ncalendar = c\n"
+        "end before closing = yes"
+    )
     lines = check_lines(text, at(2026, 10, 23, 17, 0))
     assert lines[0].startswith("calendar c: open Mon 2026-10-26 08:00 to Mon 2026-10-26 16:00, Tue 2026-10-27 08:00")
     assert lines[1].startswith("class desk/*: calendar c, at closing runs on, started only if 1.4 times")
 
 
 def test_a_look_is_cheap_and_a_text_is_small():
-    text = read("[calendar c]\nzone = Europe/Oslo\nmon-fri = 08:00-16:00\nholidays = NO, GB-ENG\n"
-                "holiday years = 2026-2030\n[class desk/*]\ncalendar = c\nend before closing = yes")
+    text = read(
+        "[calendar c]\nzone = Europe/Oslo\nmon-fri = 08:00-16:00\nholidays = NO, GB-ENG\n"
+        "holiday years = 2026-2030\n[class desk/*]\ncalendar = c\nend before closing = yes"
+    )
     raw = wire.msgspec.json.encode(text)
     assert len(raw) < 900 and wire.msgspec.json.decode(raw, type=Text) == text
     timetable = Timetable(text)
--- a/tests/test_hours_world.py
+++ b/tests/test_hours_world.py
@@ -46,8 +46,9 @@
     def make_job(self, number: int) -> wire.JobSpec:
         """Small ones, so that room is there whenever the hours allow a start."""
         spec = super().make_job(number)
-        return msgspec.structs.replace(spec, cpus=1.0, save_s=self.rng.choice([0.0, 1.0]),
-                                       estimate_s=spec.estimate_s * self.rng.choice([1.0, 1.5]))
+        return msgspec.structs.replace(
+            spec, cpus=1.0, save_s=self.rng.choice([0.0, 1.0]), estimate_s=spec.estimate_s * self.rng.choice([1.0, 1.5])
+        )
 
     def text(self) -> Text:
         """Minutes that are open or closed, over midnight, a calendar a team."""
@@ -57,8 +58,18 @@
             for day, minutes in ((20751, range(1437, 1440)), (20752, range(0, 4))):
                 days.append((day, [(m, m + 1) for m in minutes if rng.random() < 0.6]))
             calendars.append(Calendar(team, "UTC", [[(0, 1440)]] * 7, days))
-            classes.append(Class(team, rng.choice(["x", "*"]), team, rng.random() < 0.3, 1.0, rng.random() < 0.5,
-                                 rng.choice([0.0, 30.0, 30.0]), rng.choice([0.0, 5.0, 20.0])))
+            classes.append(
+                Class(
+                    team,
+                    rng.choice(["x", "*"]),
+                    team,
+                    rng.random() < 0.3,
+                    1.0,
+                    rng.random() < 0.5,
+                    rng.choice([0.0, 30.0, 30.0]),
+                    rng.choice([0.0, 5.0, 20.0]),
+                )
+            )
         return Text(calendars, classes)
 
     def declare(self, text: Text) -> None:
@@ -73,7 +84,7 @@
         for row in rows:
             if KEY in (getattr(row, "key", None), getattr(row, "put", None)):
                 number, life = msgspec.json.decode(row.data), sim.life
-                sim.node.declare_hours(self.texts[number - 1:number + 1])
+                sim.node.declare_hours(self.texts[number - 1 : number + 1])
                 self.after(TTL_S + c.PROOF_MARGIN_S, self.enforce, sim, life, number)
 
     def enforce(self, sim, life: int, number: int) -> None:
@@ -88,14 +99,20 @@
         sims = list(self.nodes.values())
         for sim in self.rng.choice([sims, self.rng.sample(sims, 1), self.rng.sample(sims, 2)]):
             sim.crash()
-            self.after(self.rng.uniform(0.1, 60.0) if self.rng.random() < 0.2 else self.rng.uniform(0.1, 5.0),
-                       self.restart, sim)
+            self.after(
+                self.rng.uniform(0.1, 60.0) if self.rng.random() < 0.2 else self.rng.uniform(0.1, 5.0),
+                self.restart,
+                sim,
+            )
 
     def in_force(self) -> list[Text]:
         """What nobody may act against by now: known for a ttl to all who act, and dropped by none before a ttl."""
         after = [*self.stored[1:], math.inf]
-        return [text for text, since, until in zip(self.texts, self.stored, after, strict=True)
-                if since + TTL_S + c.ORDER_S <= self.t < until + TTL_S + c.PROOF_MARGIN_S]
+        return [
+            text
+            for text, since, until in zip(self.texts, self.stored, after, strict=True)
+            if since + TTL_S + c.ORDER_S <= self.t < until + TTL_S + c.PROOF_MARGIN_S
+        ]
 
     def open_until(self, text: Text, spec: wire.JobSpec, ago_s: float = 0.0) -> tuple[Class | None, float]:
         table, wall = Timetable(text), BASE + self.t - ago_s
@@ -164,8 +181,12 @@
     world.submit(spec)
     for step in range(90_000):
         world.run(100.0 + 0.001 * step)
-        pending = [(sim, machine) for sim in world.nodes.values() for machine in sim.node.part.machines.values()
-                   if (spec.id, 0) in machine.pending]
+        pending = [
+            (sim, machine)
+            for sim in world.nodes.values()
+            for machine in sim.node.part.machines.values()
+            if (spec.id, 0) in machine.pending
+        ]
         if pending:
             break
     (sim, machine), part = pending[0], f"{spec.id}/0"
@@ -187,9 +208,11 @@
 def broken(monkeypatch, what: str) -> None:
     declare = Node.declare_hours
     if what == "no cautious clock":
+
         def careless(node, texts):
             declare(node, texts)
             node.hours.skew_s = 0.0
+
         monkeypatch.setattr(Node, "declare_hours", careless)
     elif what == "nothing stopped":
         monkeypatch.setattr(Home, "stop_closed", lambda home: None)
@@ -197,8 +220,10 @@
         monkeypatch.setattr(Node, "declare_hours", lambda node, texts: declare(node, texts[:1]))
 
 
-@pytest.mark.parametrize("what, seeds", (("no cautious clock", (9008, 9009)), ("the older text alone", (9000, 9003)),
-                                         ("nothing stopped", (9011,))))
+@pytest.mark.parametrize(
+    "what, seeds",
+    (("no cautious clock", (9008, 9009)), ("the older text alone", (9000, 9003)), ("nothing stopped", (9011,))),
+)
 def test_each_guard_broken_on_purpose_is_caught(what, seeds, monkeypatch):
     """The checks at the grant and with the order have a test of their own above, which fails without either."""
     broken(monkeypatch, what)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -32,8 +32,9 @@
         (folder / "KNOWN-RED.txt").write_text(known)
     # Nothing of the run that this is part of: its workers' settings are in the environment.
     clean = {name: value for name, value in os.environ.items() if not name.startswith("PYTEST")}
-    return subprocess.run([sys.executable, str(TOOL), str(folder)], text=True, capture_output=True, check=False,
-                          env=clean)
+    return subprocess.run(
+        [sys.executable, str(TOOL), str(folder)], text=True, capture_output=True, check=False, env=clean
+    )
 
 
 def test_listed_tests_that_fail_are_told_and_just_these_passed_over(tmp_path):
@@ -49,18 +50,21 @@
     assert verdict(tmp_path, known, "def test_green():\n    pass\n").returncode == 0
 
 
-@pytest.mark.parametrize("known, why", [
-    (RED, "the suite fails"),  # one that is not listed
-    (BOTH.replace("red ", "gone "), "does not name one test"),
-    (BOTH.replace("test_a", "test_b"), "does not name one test"),
-    (BOTH.replace("[2]", ""), "does not name one test"),  # it names two
-    (BOTH + "test_a.py::test_red_beside | nothing | #14\n", "passes"),
-    (BOTH + RED, "listed twice"),
-    (BOTH + "test_a.py::test_red_beside\n", "expected: test id | cause | issue"),
-    (BOTH + "test_a.py::test_red_beside | | #14\n", "expected: test id | cause | issue"),
-    (BOTH + "test_a.py | all of it | #14\n", "expected: test id | cause | issue"),
-    (BOTH + "test_a.py::test_each[1] | a | #1\ntest_a.py::test_red_beside | b | #2\n", "more than 3 tests"),
-])
+@pytest.mark.parametrize(
+    "known, why",
+    [
+        (RED, "the suite fails"),  # one that is not listed
+        (BOTH.replace("red ", "gone "), "does not name one test"),
+        (BOTH.replace("test_a", "test_b"), "does not name one test"),
+        (BOTH.replace("[2]", ""), "does not name one test"),  # it names two
+        (BOTH + "test_a.py::test_red_beside | nothing | #14\n", "passes"),
+        (BOTH + RED, "listed twice"),
+        (BOTH + "test_a.py::test_red_beside\n", "expected: test id | cause | issue"),
+        (BOTH + "test_a.py::test_red_beside | | #14\n", "expected: test id | cause | issue"),
+        (BOTH + "test_a.py | all of it | #14\n", "expected: test id | cause | issue"),
+        (BOTH + "test_a.py::test_each[1] | a | #1\ntest_a.py::test_red_beside | b | #2\n", "more than 3 tests"),
+    ],
+)
 def test_a_list_that_is_none_fails(tmp_path, known, why):
     done = verdict(tmp_path, known)
     assert done.returncode == 1 and why in done.stderr, done.stdout + done.stderr
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -30,17 +30,43 @@
 from alderbridge.wire import JobSpec, MachineType
 
 ZONES = ["a", "b", "c"]
-TYPES = {"g8": MachineType(name="g8", cpus=96.0, memory_gb=768.0, gpus=8.0, price=12.0, spot_price=4.5, boot_s=45.0,
-                           zones=ZONES, fetch_gb_per_s=1.0)}
+TYPES = {
+    "g8": MachineType(
+        name="g8",
+        cpus=96.0,
+        memory_gb=768.0,
+        gpus=8.0,
+        price=12.0,
+        spot_price=4.5,
+        boot_s=45.0,
+        zones=ZONES,
+        fetch_gb_per_s=1.0,
+    )
+}
 TEAMS = [Team("maps", 64.0, 400.0, 16.0, 64.0), Team("vision", 32.0, 300.0, 8.0, 48.0), Team("data")]
-TEXT = Text([Serve("*", "llm")], [Lend("*", "tune", 20.0, 3, 900.0), Lend("*", "batch", 0.0, 1, 900.0)],
-            {"maps": 4.0}, 24, 16, 120.0)
+TEXT = Text(
+    [Serve("*", "llm")],
+    [Lend("*", "tune", 20.0, 3, 900.0), Lend("*", "batch", 0.0, 1, 900.0)],
+    {"maps": 4.0},
+    24,
+    16,
+    120.0,
+)
 
 
 def spec(name, team, job_class, gpus=1.0, tasks=1, **more):
     more = {"kind": "sweep", "priority": "standard", "image": "i", "image_gb": 20.0, "spot": False} | more
-    return JobSpec(id=name, job_class=job_class, team=team, tasks=tasks, cpus=4.0 * gpus, gpus=gpus,
-                   memory_gb=64.0 * gpus, estimate_s=0.0 if more["kind"] == "standing" else 200.0, **more)
+    return JobSpec(
+        id=name,
+        job_class=job_class,
+        team=team,
+        tasks=tasks,
+        cpus=4.0 * gpus,
+        gpus=gpus,
+        memory_gb=64.0 * gpus,
+        estimate_s=0.0 if more["kind"] == "standing" else 200.0,
+        **more,
+    )
 
 
 def replica(name, team="maps", **more):
@@ -52,27 +78,50 @@
 
     def __init__(self, rng):
         self.rng = rng
-        self.machines = [[f"n-{i}", Kind("g8", rng.choice(ZONES), False), (96.0, 768.0, 8.0), []]
-                         for i in range(rng.randint(2, 9))]
+        self.machines = [
+            [f"n-{i}", Kind("g8", rng.choice(ZONES), False), (96.0, 768.0, 8.0), []] for i in range(rng.randint(2, 9))
+        ]
         self.used = {team.name: (0.0, 0.0) for team in TEAMS}
         self.services, self.sites, self.gangs = [], {}, Counter()
         for number in range(rng.randint(5, 40)):
             job_class = rng.choice(["tune", "tune", "batch", "other"])
-            one = spec(f"wk-{number}", rng.choice(TEAMS).name, job_class, rng.choice([1.0, 1.0, 2.0, 8.0]),
-                       priority=rng.choice(["best_effort", "standard", "high", "production"]),
-                       checkpoint_s=rng.choice([0.0, 30.0]), save_s=5.0)
+            one = spec(
+                f"wk-{number}",
+                rng.choice(TEAMS).name,
+                job_class,
+                rng.choice([1.0, 1.0, 2.0, 8.0]),
+                priority=rng.choice(["best_effort", "standard", "high", "production"]),
+                checkpoint_s=rng.choice([0.0, 30.0]),
+                save_s=5.0,
+            )
             if rng.random() < 0.2:
                 one = spec(one.id, one.team, one.job_class, 8.0, 2, kind="group", priority=one.priority)
             for index in range(one.tasks):
                 self.put(one, index)
         for number in range(rng.randint(1, 4)):
             tasks = rng.randint(1, 9)
-            one = replica(f"wk-{100 + number}", rng.choice(["maps", "maps", "vision"]), tasks=tasks,
-                          gpus=rng.choice([1.0, 1.0, 2.0, 8.0]), spread=rng.random() < 0.5,
-                          priority=rng.choice(["production", "standard"]), image=rng.choice("ij"))
+            one = replica(
+                f"wk-{100 + number}",
+                rng.choice(["maps", "maps", "vision"]),
+                tasks=tasks,
+                gpus=rng.choice([1.0, 1.0, 2.0, 8.0]),
+                spread=rng.random() < 0.5,
+                priority=rng.choice(["production", "standard"]),
+                image=rng.choice("ij"),
+            )
             on = sum(self.put(one, index) for index in range(rng.randint(0, tasks // 2)))
-            self.services.append(Service(one, on, tasks - on, tasks - on, rng.uniform(-5.0, 18.0), None,
-                                         rng.random() < 0.7, (False, -one.rank, 0.0, one.id)))
+            self.services.append(
+                Service(
+                    one,
+                    on,
+                    tasks - on,
+                    tasks - on,
+                    rng.uniform(-5.0, 18.0),
+                    None,
+                    rng.random() < 0.7,
+                    (False, -one.rank, 0.0, one.id),
+                )
+            )
 
         if rng.random() < 0.2:
             self.used["maps"] = (100.0, 64.0)  # at its limit: with work that these machines do not show
@@ -87,8 +136,19 @@
         cpus, gpus = self.used[one.team]
         self.used[one.team] = (cpus + one.cpus, gpus + one.gpus)
         ran = self.rng.uniform(0.0, 150.0)
-        machine[3].append(Victim(one.id, index, 7, one, ran, ran % 30.0 if one.checkpoint_s else None,
-                                 self.rng.choice([0, 0, 1, 3]), True, self.rng.choice([0.0, 10.0, 2000.0])))
+        machine[3].append(
+            Victim(
+                one.id,
+                index,
+                7,
+                one,
+                ran,
+                ran % 30.0 if one.checkpoint_s else None,
+                self.rng.choice([0, 0, 1, 3]),
+                True,
+                self.rng.choice([0.0, 10.0, 2000.0]),
+            )
+        )
         self.gangs[one.id] += 1
         if one.service:
             site = self.sites.setdefault(machine[0], Site(frozenset([one.image]), Counter()))
@@ -97,8 +157,9 @@
 
     def zones(self, job):
         kinds = {name: kind for name, kind, _, _ in self.machines}
-        return Counter({kinds[name].zone: site.replicas[job] for name, site in self.sites.items()
-                        if job in site.replicas})
+        return Counter(
+            {kinds[name].zone: site.replicas[job] for name, site in self.sites.items() if job in site.replicas}
+        )
 
     def plan(self, lender, spent=0.0):
         lender.paid.append((990.0, "maps", spent))
@@ -107,8 +168,10 @@
         lender.teams = Teams(TEAMS, self.used)
         resources = [Resource(kind, free) for _, kind, free, _ in self.machines]
         needs = lender.needs(self.services, resources, self.used, {})
-        held = [Held(name, kind, free, [one for one in tasks if lender.preemptible(one.spec)])
-                for name, kind, free, tasks in self.machines]
+        held = [
+            Held(name, kind, free, [one for one in tasks if lender.preemptible(one.spec)])
+            for name, kind, free, tasks in self.machines
+        ]
         budget = Budget(Spent(), 1000.0, {}, 100, lender.limit)
         return needs, lender.choose(needs, held, budget, 1000.0, 12)
 
@@ -133,11 +196,16 @@
                 found.append("a victim that is not there, or twice")
                 continue
             stopped.add((job, index))
-            free = tuple(a + b for a, b in zip(free, (victim.spec.cpus, victim.spec.memory_gb, victim.spec.gpus),
-                                               strict=True))
+            free = tuple(
+                a + b for a, b in zip(free, (victim.spec.cpus, victim.spec.memory_gb, victim.spec.gpus), strict=True)
+            )
             lend = next((one for one in TEXT.lend if one.workload == victim.spec.job_class), None)
-            if lend is None or victim.ran_s < lend.least_run_s or victim.stops >= lend.most_stops or \
-                    victim.since_stop_s > lend.waits_at_most_s:
+            if (
+                lend is None
+                or victim.ran_s < lend.least_run_s
+                or victim.stops >= lend.most_stops
+                or victim.since_stop_s > lend.waits_at_most_s
+            ):
                 found.append("a victim that its class spares")
             mine = victim.spec.team == need.spec.team
             if need.spec.rank <= victim.spec.rank and (mine or not need.guaranteed):
@@ -168,8 +236,11 @@
         if rooms[one.spec.id] > one.waiting:
             found.append("room that nobody wants")
         here = state.zones(one.spec.id)
-        if one.spec.spread and any(here[zone] + zones[one.spec.id, zone] > math.ceil(one.spec.tasks / 2)
-                                   for zone in ZONES if zones[one.spec.id, zone]):
+        if one.spec.spread and any(
+            here[zone] + zones[one.spec.id, zone] > math.ceil(one.spec.tasks / 2)
+            for zone in ZONES
+            if zones[one.spec.id, zone]
+        ):
             found.append("more in a zone than apart allows")
     for team, count in serving.items():
         if any(rooms[job] and specs[job].spec.team == team for job in rooms) and count > limits[team].gpus + 1e-9:
@@ -192,13 +263,15 @@
     assert stops > 100
 
 
-BROKEN = {"a team below its guarantee for another": (Teams, "beyond", lambda self, spec: True),
-          "preemption that the protocol does not allow": (claims, "allowed", lambda *args: True),
-          "faster than the pace": (Lender, "_left", lambda self, team: 1000.0),
-          "more in a zone than apart allows": (Lender, "_quota", staticmethod(lambda spec, here, zone: spec.tasks)),
-          "room that its team may not use": (Lender, "_headroom", lambda self, spec, used: math.inf),
-          "replicas beyond their team's guarantee": (Lender, "_guarantee", lambda self, team: 1000.0),
-          "a victim that its class spares": (Lender, "lends", lambda self, spec: [Lend("*", "*", 0.0, 9, 9999.0)])}
+BROKEN = {
+    "a team below its guarantee for another": (Teams, "beyond", lambda self, spec: True),
+    "preemption that the protocol does not allow": (claims, "allowed", lambda *args: True),
+    "faster than the pace": (Lender, "_left", lambda self, team: 1000.0),
+    "more in a zone than apart allows": (Lender, "_quota", staticmethod(lambda spec, here, zone: spec.tasks)),
+    "room that its team may not use": (Lender, "_headroom", lambda self, spec, used: math.inf),
+    "replicas beyond their team's guarantee": (Lender, "_guarantee", lambda self, team: 1000.0),
+    "a victim that its class spares": (Lender, "lends", lambda self, spec: [Lend("*", "*", 0.0, 9, 9999.0)]),
+}
 
 
 @pytest.mark.parametrize("guard", BROKEN)
@@ -212,8 +285,12 @@
 def full(name, zone, one, tasks=8, ran=100.0, saved=None):
     """A machine that is full of one job's tasks."""
     victims = [Victim(one.id, int(name[2:]) * 8 + index, 7, one, ran, saved) for index in range(tasks)]
-    return Held(name, Kind("g8", zone, False), (96.0 - one.cpus * tasks, 768.0 - one.memory_gb * tasks,
-                                                8.0 - one.gpus * tasks), victims)
+    return Held(
+        name,
+        Kind("g8", zone, False),
+        (96.0 - one.cpus * tasks, 768.0 - one.memory_gb * tasks, 8.0 - one.gpus * tasks),
+        victims,
+    )
 
 
 def choose(service, machines, used, sites=None, lent=None):
@@ -318,8 +395,10 @@
 
 
 def test_a_declaration_is_read_and_said():
-    text = text_of("[declaration]\nrevision=1\n[serve maps/llm-*]\n[lend */tune]\nleast run = 5\n"
-                   "[reserve maps]\ngpus=8\n[pace]\nkeep = 30")
+    text = text_of(
+        "[declaration]\nrevision=1\n[serve maps/llm-*]\n[lend */tune]\nleast run = 5\n"
+        "[reserve maps]\ngpus=8\n[pace]\nkeep = 30"
+    )
     assert text == Text([Serve("maps", "llm-*")], [Lend("*", "tune", 5.0, 3, 900.0)], {"maps": 8.0}, 64, 32, 30.0)
     assert len(check_lines(text)) == 4 and check_lines(Text()) == []
     both = Lender([text, TEXT], TEAMS, TYPES)  # one replaces the other: the stricter
@@ -327,12 +406,18 @@
     assert (both.reserve("maps"), both.keep_s, both.limit(None).a_minute) == (8.0, 120.0, 24)
 
 
-@pytest.mark.parametrize("lines, said", [
-    ("[lend */tune]", "at least one [serve"), ("[serve maps]", "expected [serve OWNER/WORKLOAD]"),
-    ("[serve a/b]\n[lend a/b]", "declared before"), ("[serve a/b]\nx = 1", "no such setting"),
-    ("[serve a/b]\n[reserve z]\ngpus = 1", "nothing would use it"),
-    ("[serve a/b]\n[pace]\nkeep = -1", "expected a number from 0"),
-    ("[serve a/b]\n[lend a/*]\nmost stops = 1.5", "expected a whole number")])
+@pytest.mark.parametrize(
+    "lines, said",
+    [
+        ("[lend */tune]", "at least one [serve"),
+        ("[serve maps]", "expected [serve OWNER/WORKLOAD]"),
+        ("[serve a/b]\n[lend a/b]", "declared before"),
+        ("[serve a/b]\nx = 1", "no such setting"),
+        ("[serve a/b]\n[reserve z]\ngpus = 1", "nothing would use it"),
+        ("[serve a/b]\n[pace]\nkeep = -1", "expected a number from 0"),
+        ("[serve a/b]\n[lend a/*]\nmost stops = 1.5", "expected a whole number"),
+    ],
+)
 def test_each_fault_is_one_line(lines, said):
     with pytest.raises(ConfigError, match="x.ini") as caught:
         text_of(lines)
@@ -360,16 +445,28 @@
         rows = [QueueRow("wk-9", waiting, waiting, 10.0, 3600.0, None, now, False, True)] if waiting else []
         self.leader.on_queue("host-0", Queue(rows, {"data": (64.0, 16.0 - free)}, {}, {}, 0), now)
         full = [(100.0, 32.0, 512.0, 8.0 - free)]
-        self.leader.on_room("host-0", Room([RoomRow(name, "g8", "a", False, "up", 0.0, (64.0, 256.0, free), full, 1.0)
-                                            for name in ("n-0", "n-1")]), now)
+        self.leader.on_room(
+            "host-0",
+            Room(
+                [RoomRow(name, "g8", "a", False, "up", 0.0, (64.0, 256.0, free), full, 1.0) for name in ("n-0", "n-1")]
+            ),
+            now,
+        )
         for rental in self.leader.rentals.values():
             rental.rented_at = 0.0
 
     def look(self, now):
         asked = self.desk.round(now, now, [self.lender], lambda: Teams(TEAMS, {"data": (64.0, 16.0)}), 12)
         if asked:
-            rows = [TaskRow(f"n-{i}", (64.0, 256.0, 0.0), [("wk-1", 8 * i + n, 7, 60.0, True) for n in range(8)],
-                            ["i"] if i else []) for i in range(2)]
+            rows = [
+                TaskRow(
+                    f"n-{i}",
+                    (64.0, 256.0, 0.0),
+                    [("wk-1", 8 * i + n, 7, 60.0, True) for n in range(8)],
+                    ["i"] if i else [],
+                )
+                for i in range(2)
+            ]
             self.desk.on_tasks("host-0", Tasks(rows, True), now)
             self.desk.round(now, now, [self.lender], lambda: Teams(TEAMS, {"data": (64.0, 16.0)}), 12)
         return asked
@@ -410,8 +507,10 @@
     site.tell(1.0, 0, 3.0)
     site.look(1.0)
     assert site.lender.keep(site.desk, 1.0) == {"n-0": 3.0, "n-1": 1.0}  # declared beside what runs
-    offers = [Offer("host-0", QueueRow(one.id, 9, 9, 1.0, 1.0, None, 9.0, False, False), one, 0.0, 0.0)
-              for one in (site.tune, site.tune, site.serve)]
+    offers = [
+        Offer("host-0", QueueRow(one.id, 9, 9, 1.0, 1.0, None, 9.0, False, False), one, 0.0, 0.0)
+        for one in (site.tune, site.tune, site.serve)
+    ]
     elsewhere = site.lender.leaving(2.0, lambda offer: 0)
     assert [offer.left - elsewhere(offer) for offer in offers] == [2, 0, 9]
 
@@ -428,15 +527,30 @@
 
     def routine(self, number):
         return msgspec.structs.replace(
-            super().routine(number), job_class="tune", cpus=2.0, gpus=1.0, tasks=8,
-            estimate_s=self.rng.uniform(30.0, 60.0), priority=self.rng.choice(["best_effort", "standard", "high"]))
+            super().routine(number),
+            job_class="tune",
+            cpus=2.0,
+            gpus=1.0,
+            tasks=8,
+            estimate_s=self.rng.uniform(30.0, 60.0),
+            priority=self.rng.choice(["best_effort", "standard", "high"]),
+        )
 
     def urgent(self, number):
         rng = self.rng
-        return msgspec.structs.replace(super().urgent(number), kind="standing", team="free", cpus=2.0,
-                                       gpus=rng.choice([1.0, 1.0, 2.0]), tasks=rng.randint(1, 3), estimate_s=0.0,
-                                       spread=rng.random() < 0.3, types=None, zone=None,
-                                       priority=rng.choice(["standard", "production"]))
+        return msgspec.structs.replace(
+            super().urgent(number),
+            kind="standing",
+            team="free",
+            cpus=2.0,
+            gpus=rng.choice([1.0, 1.0, 2.0]),
+            tasks=rng.randint(1, 3),
+            estimate_s=0.0,
+            spread=rng.random() < 0.3,
+            types=None,
+            zone=None,
+            priority=rng.choice(["standard", "production"]),
+        )
 
     def submit(self, spec):
         super().submit(spec)
@@ -458,8 +572,11 @@
 
     def may_claim(self, machine, claim):
         need = self.specs[claim.job]
-        made_for = sum(other.count for name, other in self.open.items()
-                       if other.job == claim.job and (name == machine or self.there(name, other)))
+        made_for = sum(
+            other.count
+            for name, other in self.open.items()
+            if other.job == claim.job and (name == machine or self.there(name, other))
+        )
         if not need.service or made_for > self.lately_waiting(claim.job):
             raise Broken(f"no_need: {claim.job} at {self.t:.2f}: {made_for} for {self.lately_waiting(claim.job)}")
         for job, index, attempt in claim.victims:
@@ -470,8 +587,12 @@
                 raise Broken(f"spared: {job}/{index}, stopped {self.victims[job, index]} times")
             if one.team == need.team and one.rank >= need.rank:
                 raise Broken(f"preemption: {job} ({one.priority}) for {claim.job} ({need.priority})")
-        others = [self.specs[job] for name, other in self.open.items() for job, _, _ in other.victims
-                  if self.there(name, other) and self.specs[job].team != need.team]
+        others = [
+            self.specs[job]
+            for name, other in self.open.items()
+            for job, _, _ in other.victims
+            if self.there(name, other) and self.specs[job].team != need.team
+        ]
         for team in {one.team for one in others}:
             for part, least in enumerate(GUARANTEED[team]):
                 stopped = sum((one.cpus, one.gpus)[part] for one in others if one.team == team)
@@ -487,8 +608,11 @@
 @pytest.fixture
 def gpus(monkeypatch):
     monkeypatch.setitem(world.TYPES, "large", msgspec.structs.replace(world.TYPES["large"], gpus=4.0))
-    monkeypatch.setattr(world, "TEAMS", [Team("free", *GUARANTEED["free"][:1], 0.0, GUARANTEED["free"][1]),
-                                         Team("bound", 4.0, 16.0, 2.0, 8.0)])
+    monkeypatch.setattr(
+        world,
+        "TEAMS",
+        [Team("free", *GUARANTEED["free"][:1], 0.0, GUARANTEED["free"][1]), Team("bound", 4.0, 16.0, 2.0, 8.0)],
+    )
 
 
 def play(seed, until=700.0, **more):
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -7,14 +7,31 @@
 from alderbridge.mesh import Grant, Seen
 from alderbridge.wire import Beat, JobSpec, MachineRecord, ReportedTask
 
-SPEC = JobSpec(id="wk-1", job_class="x", team="t", kind="sweep", priority="standard", tasks=9, cpus=1.0,
-               memory_gb=1.0, image="i", image_gb=1.0, estimate_s=10.0)
+SPEC = JobSpec(
+    id="wk-1",
+    job_class="x",
+    team="t",
+    kind="sweep",
+    priority="standard",
+    tasks=9,
+    cpus=1.0,
+    memory_gb=1.0,
+    image="i",
+    image_gb=1.0,
+    estimate_s=10.0,
+)
 
 
 def part_with_machine():
     sent = []
-    part = Part("host-0", 17.0, lambda label, body: sent.append((label, body)) or len(sent),
-                lambda job: SPEC, lambda job: "host-1", Random(1))
+    part = Part(
+        "host-0",
+        17.0,
+        lambda label, body: sent.append((label, body)) or len(sent),
+        lambda job: SPEC,
+        lambda job: "host-1",
+        Random(1),
+    )
     part.upto = lambda label: 7
     part.enter(5, ["host-0", "host-1"], {"n-1": MachineRecord("10.0.0.1:9000", "c4", "a")}, 0.0)
     part.settle(0.0)
@@ -69,8 +86,15 @@
 
 def test_machines_are_asked_once_a_view_and_only_where_their_address_is_known():
     part, _ = part_with_machine()
-    part.enter(6, ["host-0", "host-1"], {name: MachineRecord(address) for name, address in (
-        ("n-1", "10.0.0.1:9000"), ("n-2", ""), ("n-3", "10.0.0.3:9000"))}, 3.0)
+    part.enter(
+        6,
+        ["host-0", "host-1"],
+        {
+            name: MachineRecord(address)
+            for name, address in (("n-1", "10.0.0.1:9000"), ("n-2", ""), ("n-3", "10.0.0.3:9000"))
+        },
+        3.0,
+    )
     part.on_asked(Beat("n-3", "10.0.0.3:9000", "c4", 2, 9, 6, "a"), 3.1)
     assert part.next_to_ask(3.1) == ("n-1", "10.0.0.1:9000", 1)
     assert part.next_to_ask(3.1) is None
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -47,8 +47,19 @@
 
 
 def sent(world, number=1, **more):
-    spec = msgspec.structs.replace(world.make_job(number), kind="sweep", tasks=1, types=None, zone=None, one_zone=False,
-                                   spread=False, spot=True, team="free", cpus=1.0, **more)
+    spec = msgspec.structs.replace(
+        world.make_job(number),
+        kind="sweep",
+        tasks=1,
+        types=None,
+        zone=None,
+        one_zone=False,
+        spread=False,
+        spot=True,
+        team="free",
+        cpus=1.0,
+        **more,
+    )
     world.submit(spec)
     return spec.id
 
@@ -81,8 +92,13 @@
         used = []
         while world.t < 110.0:
             world.run(world.t + 1.0)
-            used.append(sum(world.specs[wire.split_task(part)[0]].cpus for part in world.on
-                            if world.specs[wire.split_task(part)[0]].team == "bound"))
+            used.append(
+                sum(
+                    world.specs[wire.split_task(part)[0]].cpus
+                    for part in world.on
+                    if world.specs[wire.split_task(part)[0]].team == "bound"
+                )
+            )
         assert max(used) == 16.0
     elif kind == "zone_away":
         zone, inside, until = world.zone_away
@@ -118,6 +134,7 @@
 
 # -- each guard is seen to fail ----------------------------------------------------------
 
+
 def acts_past_its_hold(monkeypatch):
     """A member takes its hold, its replica and its contact for good much longer than they are."""
     renewed, followed = Hold.renewed, Membership.followed
@@ -149,8 +166,13 @@
 def told_before_stored(monkeypatch):
     """``withdraw`` is answered at once, though the write may be refused, or lost."""
     real = Node.withdraw
-    monkeypatch.setattr(Node, "withdraw", lambda self, job, now: real(self, job, now) or (
-        "aborted" if job in self.home.jobs and self.may_act() else None))
+    monkeypatch.setattr(
+        Node,
+        "withdraw",
+        lambda self, job, now: (
+            real(self, job, now) or ("aborted" if job in self.home.jobs and self.may_act() else None)
+        ),
+    )
 
 
 def stamps_not_asserted(monkeypatch):
@@ -180,6 +202,7 @@
 
 def test_a_close_look_sees_an_older_state_told_while_an_end_has_no_answer(monkeypatch):
     """Carried out at once, only the answer lost: the others tell the end, and its home must not deny it."""
+
     def play():
         for seed in range(4):
             world = calm(seed, until=10.0)
@@ -201,6 +224,7 @@
 
 # -- what is judged besides the rules is seen to fail ------------------------------------
 
+
 def test_who_waits_beside_room_is_seen(monkeypatch):
     world = calm(until=30.0)
     sent(world, 1, estimate_s=1000.0)
@@ -225,13 +249,26 @@
     for number in range(10):
         sent(world, number, estimate_s=1000.0)
     world.run(40.0)
-    spec = msgspec.structs.replace(world.make_job(20), kind="sweep", tasks=8, types=["large"], zone=None, team="bound",
-                                   one_zone=False, spread=False, spot=True, cpus=4.0, priority="high")
+    spec = msgspec.structs.replace(
+        world.make_job(20),
+        kind="sweep",
+        tasks=8,
+        types=["large"],
+        zone=None,
+        team="bound",
+        one_zone=False,
+        spread=False,
+        spot=True,
+        cpus=4.0,
+        priority="high",
+    )
     world.submit(spec)
     world.run(60.0)
     assert spec.id in world.accepted and spec.id not in world.began
-    other = [msgspec.structs.replace(spec, id=f"wk-{number}", types=None, tasks=1, cpus=1.0, priority="standard")
-             for number in range(6)]
+    other = [
+        msgspec.structs.replace(spec, id=f"wk-{number}", types=None, tasks=1, cpus=1.0, priority="standard")
+        for number in range(6)
+    ]
     for one in other:
         world.submit(one)
     world.run(180.0)
@@ -325,8 +362,18 @@
 
 def takes_what_lacks_a_field(monkeypatch):
     def parse_job(body):
-        fields = {"workload": "x", "owner": "free", "shape": "sweep", "urgency": "high", "parts": 1, "vcpus": 1.0,
-                  "mem_gb": 1.0, "bundle": "p", "image_gb": 1.0, "expected_s": 1.0}
+        fields = {
+            "workload": "x",
+            "owner": "free",
+            "shape": "sweep",
+            "urgency": "high",
+            "parts": 1,
+            "vcpus": 1.0,
+            "mem_gb": 1.0,
+            "bundle": "p",
+            "image_gb": 1.0,
+            "expected_s": 1.0,
+        }
         try:
             return msgspec.convert(fields | msgspec.json.decode(body), wire.JobSpec)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
@@ -351,10 +398,16 @@
     monkeypatch.setattr(Part, "_stop_cancelled", lambda self, machine, shown: None)
 
 
-@pytest.mark.parametrize("fault, rules", [
-    (acts_past_its_hold, ("ran_twice", "ran_cancelled", "went_back")), (copies_taken_for_new, ("ran_twice", "quota")),
-    (told_before_stored, ("went_back",)), (stamps_not_asserted, ("ran_twice", "ran_cancelled", "not_done")),
-    (never_halted, ("ran_cancelled",))])
+@pytest.mark.parametrize(
+    "fault, rules",
+    [
+        (acts_past_its_hold, ("ran_twice", "ran_cancelled", "went_back")),
+        (copies_taken_for_new, ("ran_twice", "quota")),
+        (told_before_stored, ("went_back",)),
+        (stamps_not_asserted, ("ran_twice", "ran_cancelled", "not_done")),
+        (never_halted, ("ran_cancelled",)),
+    ],
+)
 def test_each_guard_is_seen_to_fail_when_it_is_broken(monkeypatch, fault, rules):
     fault(monkeypatch)
     for seed in range(20000, 20040):
