--- a/tests/test_meetings_answers.py
+++ b/tests/test_meetings_answers.py
@@ -26,6 +26,7 @@
 
 # -- one node, one store: what is written is read by others at once ------------------
 
+
 def at_once(alone, shown=True):
     """What is due, carried out at once; its answer is lost. ``shown``: the writer's own watch tells it before that."""
     batch = alone.batch()
@@ -293,8 +294,11 @@
     there = alone.other("host-1")
     name = machine_of("host-0", "host-0", "host-1", "host-2")
     alone.up(name)
-    spec = next(spec for spec in (msgspec.structs.replace(SPEC, id=f"wk-{number:06d}") for number in range(99))
-                if choose("host-2", ["host-0", "host-1"]) != choose("host-3", ["host-0", "host-1"]) or spec)
+    spec = next(
+        spec
+        for spec in (msgspec.structs.replace(SPEC, id=f"wk-{number:06d}") for number in range(99))
+        if choose("host-2", ["host-0", "host-1"]) != choose("host-3", ["host-0", "host-1"]) or spec
+    )
     job = alone.job(spec)
     alone.store.commit({}, {VIEW: View("host-0", {label: alone.permits[label] for label in ("host-0", "host-1")})})
     if shown:
@@ -318,8 +322,11 @@
 def test_an_end_is_held_back_for_the_view_that_gave_its_job_to_this_home_and_for_no_later_one():
     """Each view held it back anew, though this home had had the job for long: a cancel waited for as many as came."""
     alone = Alone("host-1", "host-2")
-    gone, stays = next(pair for pair in (("host-1", "host-2"), ("host-2", "host-1"))
-                       if choose(pair[0], ["host-0", pair[1]]) == "host-0")
+    gone, stays = next(
+        pair
+        for pair in (("host-1", "host-2"), ("host-2", "host-1"))
+        if choose(pair[0], ["host-0", pair[1]]) == "host-0"
+    )
     other = msgspec.structs.replace(SPEC, id="wk-000009")
     for spec in (SPEC, other):
         alone.store.commit({}, {JOBS + spec.id: Record(JobState.ACTIVE, gone, 0.0, 3, [], spec)})
@@ -423,6 +430,7 @@
 
 # -- all of it, in a world
 
+
 class AnswersLost(SimNode):
     """Of a share of what it changes in the store the answer alone is lost; now and then its watch hangs meanwhile."""
 
@@ -564,15 +572,28 @@
             self.after(self.rng.uniform(1.0, 10.0), self.submit, self.job_of(number))
 
     def job_of(self, number):
-        return msgspec.structs.replace(self.make_job(number), kind="sweep", team="free", cpus=1.0, tasks=2,
-                                       estimate_s=1000.0, types=None, zone=None, one_zone=False, spread=False)
+        return msgspec.structs.replace(
+            self.make_job(number),
+            kind="sweep",
+            team="free",
+            cpus=1.0,
+            tasks=2,
+            estimate_s=1000.0,
+            types=None,
+            zone=None,
+            one_zone=False,
+            spread=False,
+        )
 
     def leader(self):
         return msgspec.json.decode(self.store.data[VIEW][0], type=View).leader
 
     def jobs_of(self, label):
-        return sorted(job for job in self.accepted
-                      if msgspec.json.decode(self.store.data[JOBS + job][0], type=Record).home == label)
+        return sorted(
+            job
+            for job in self.accepted
+            if msgspec.json.decode(self.store.data[JOBS + job][0], type=Record).home == label
+        )
 
     def ask_all(self, job):
         self.asked.setdefault(job, self.t)
@@ -622,8 +643,10 @@
 
 def is_cut_off(world, sim):
     """It acts on under the older view, for its users and workers, while another has begun the next one."""
+
     def dark():
         sim.cut_store_until = sim.cut_mesh_until = world.t + 25.0
+
     world.after(2.0, dark)
 
 
@@ -636,9 +659,15 @@
 CHANGES = [ends, ends_and_is_back, is_cut_off, hands_over_again_and_again]
 
 
-@pytest.mark.parametrize("seed, change, lost, halts_lost", [
-    (1, ends, True, True), (2, ends_and_is_back, False, True), (3, is_cut_off, True, True),
-    (4, hands_over_again_and_again, True, False)])
+@pytest.mark.parametrize(
+    "seed, change, lost, halts_lost",
+    [
+        (1, ends, True, True),
+        (2, ends_and_is_back, False, True),
+        (3, is_cut_off, True, True),
+        (4, hands_over_again_and_again, True, False),
+    ],
+)
 def test_jobs_cancelled_while_work_changes_hands_end_once_and_are_gone_in_time(seed, change, lost, halts_lost):
     """Asked of the old home, of the new one and of a third at each step; of its last ends the answers are lost."""
     world = hands(seed, change, lost=lost, halts_lost=halts_lost)
@@ -667,9 +696,14 @@
     monkeypatch.setattr(Node, "state_here", state_here)
 
 
-@pytest.mark.parametrize("fault, change, seed, rule", [
-    (halts_nothing_itself, ends, 2, "ran_cancelled"), (needs_no_contact, is_cut_off, 1, "went_back"),
-    (tells_what_it_last_knew, ends_and_is_back, 5, "went_back")])
+@pytest.mark.parametrize(
+    "fault, change, seed, rule",
+    [
+        (halts_nothing_itself, ends, 2, "ran_cancelled"),
+        (needs_no_contact, is_cut_off, 1, "went_back"),
+        (tells_what_it_last_knew, ends_and_is_back, 5, "went_back"),
+    ],
+)
 def test_each_guard_of_a_change_of_hands_is_seen_to_fail(monkeypatch, fault, change, seed, rule):
     fault(monkeypatch)
     with pytest.raises(Broken, match=rule):
@@ -720,8 +754,11 @@
     for at in range(int(HANDS_AT), int(until), 2):
         world.run(float(at))
         for part in parts:
-            if world.on.get(part, deaf.name) != deaf.name or part in world.completed or wire.split_task(
-                    part)[0] in world.asked:
+            if (
+                world.on.get(part, deaf.name) != deaf.name
+                or part in world.completed
+                or wire.split_task(part)[0] in world.asked
+            ):
                 world.moved.setdefault(part, at - HANDS_AT)
     assert parts and set(world.moved) == set(parts)
     world.remembered()
--- a/tests/test_meetings_controllers.py
+++ b/tests/test_meetings_controllers.py
@@ -97,10 +97,14 @@
 
 def test_a_view_is_firm_only_between_the_same_labels_and_after_a_settled_or_firm_one():
     members = {"a": 1, "b": 2, "c": 3}
-    cases = [(View("a", members, 8.0), members | {"b": 9}, False, False), (View("a", members, 8.0, True), members, True,
-             False), (View("a", members, 8.0, True), members, False, True), (View("a", members), members, True, True),
-             (View("a", members, 8.0), members | {"d": 4}, True, True),
-             (View("a", members | {"d": 4}, 8.0), members, True, True)]
+    cases = [
+        (View("a", members, 8.0), members | {"b": 9}, False, False),
+        (View("a", members, 8.0, True), members, True, False),
+        (View("a", members, 8.0, True), members, False, True),
+        (View("a", members), members, True, True),
+        (View("a", members, 8.0), members | {"d": 4}, True, True),
+        (View("a", members | {"d": 4}, 8.0), members, True, True),
+    ]
     for before, after, settled, loose in cases:
         membership = Membership("a", 20.0)
         membership.saw_view(before, 1)
@@ -124,6 +128,7 @@
 
 # -- a leader that users and workers still reach, and nobody else -------------------
 
+
 class Severed(World):
     """Users cancel through the others, and ask all of them, the cut one above all, all the time."""
 
@@ -186,6 +191,7 @@
 
 # -- the store refuses the leader alone, and then everybody ---------------------------
 
+
 def refused(seed, nodes, alone_s, all_s):
     """Its follow hangs, its calls are refused; the others cancel its jobs; then the store is down, and holds last."""
     world = Severed(seed, nodes=nodes, jobs=24, trouble=False)
@@ -213,6 +219,7 @@
 
 # -- handed over and back within a second ---------------------------------------------
 
+
 def handed_over(seed, nodes, stay=None):
     """All end one after the other, twice, and once together; with ``stay`` alone back at first, a second later."""
     world = World(seed, nodes=nodes, jobs=24, trouble=False, pipelines=2)
@@ -233,8 +240,10 @@
     assert not world.halted_needed
 
 
-@pytest.mark.parametrize("seed, nodes, stay", [(15300, 3, None), (15301, 5, None), (15302, 3, "host-2"),
-                                               (15303, 5, "host-0"), (15304, 5, "host-4")])
+@pytest.mark.parametrize(
+    "seed, nodes, stay",
+    [(15300, 3, None), (15301, 5, None), (15302, 3, "host-2"), (15303, 5, "host-0"), (15304, 5, "host-4")],
+)
 def test_controllers_that_hand_over_and_back_within_a_second_halt_and_forget_nothing(seed, nodes, stay):
     handed_over(seed, nodes, stay)
 
@@ -247,6 +256,7 @@
 
 # -- each guard is seen to be needed ---------------------------------------------------
 
+
 def no_contact_needed(monkeypatch):
     monkeypatch.setattr(Contact, "_reckon", lambda self: setattr(self, "until", float("inf")))
 
@@ -323,8 +333,7 @@
 def test_a_reply_that_comes_after_the_store_was_asked_is_told_to_nobody(control):
     """The home's answer is older than the store's by then."""
     told, job = [], "wk-000001"
-    control.node.replica.active[job] = (
-        msgspec.structs.replace(Record(JobState.ACTIVE, "host-1", 0.0, 1, [], None)), 8)
+    control.node.replica.active[job] = (msgspec.structs.replace(Record(JobState.ACTIVE, "host-1", 0.0, 1, [], None)), 8)
 
     async def store_says(key):
         return wire.Row(key, msgspec.Raw(msgspec.json.encode(Record(JobState.ABORTED))), 9)
--- a/tests/test_meetings_gap.py
+++ b/tests/test_meetings_gap.py
@@ -36,6 +36,7 @@
                     world.after(self.still_until - world.t, deliver, *answer)
                 elif life == self.life:
                     what(*answer)
+
             return deliver
 
         then, fail = awake(then), awake(fail)
@@ -71,6 +72,7 @@
 
         def later(status: int, body: bytes) -> None:  # it may fall still between the decision and the sending
             self.world.after(max(0.0, self.still_until - self.world.t), reply, status, body)
+
         super().beat(raw, later)
 
 
@@ -81,9 +83,18 @@
         self.halts_lost = False
         super().__init__(seed, jobs=0, trouble=False, nodes=5, **more)
         for number in range(JOBS):
-            spec = msgspec.structs.replace(self.make_job(number), kind="sweep", team="free", cpus=1.0,
-                                           tasks=self.rng.randint(2, 3), estimate_s=1000.0, types=None, zone=None,
-                                           one_zone=False, spread=False)
+            spec = msgspec.structs.replace(
+                self.make_job(number),
+                kind="sweep",
+                team="free",
+                cpus=1.0,
+                tasks=self.rng.randint(2, 3),
+                estimate_s=1000.0,
+                types=None,
+                zone=None,
+                one_zone=False,
+                spread=False,
+            )
             self.after(self.rng.uniform(1.0, 10.0), self.submit, spec)
             at = 2.0 - 6.0 * self.rng.random() if number % 2 else STEP_S * number
             self.after(REFUSED_AT + at, self.withdraw, spec.id)
@@ -134,6 +145,7 @@
     def stays(self, sent_at):
         followed(self, sent_at)
         self.fresh_until = float("inf")
+
     monkeypatch.setattr(Membership, "followed", stays)
 
 
@@ -147,12 +159,19 @@
 def answers_whatever_it_may(monkeypatch):
     def may_act(self, now):
         return self.view.members.get(self.me) == self.hold.permit != 0
+
     monkeypatch.setattr(Membership, "may_act", may_act)
 
 
-@pytest.mark.parametrize("fault, more", [
-    (knows_of_no_cancellation, {"outage": 0.0}), (fresh_for_ever, {"alone": "hanging", "outage": 0.0}),
-    (acts_for_longer_than_cancellations_allow, {}), (answers_whatever_it_may, {})])
+@pytest.mark.parametrize(
+    "fault, more",
+    [
+        (knows_of_no_cancellation, {"outage": 0.0}),
+        (fresh_for_ever, {"alone": "hanging", "outage": 0.0}),
+        (acts_for_longer_than_cancellations_allow, {}),
+        (answers_whatever_it_may, {}),
+    ],
+)
 def test_each_term_of_the_argument_is_needed(monkeypatch, fault, more):
     fault(monkeypatch)
     with pytest.raises(Broken, match="ran_cancelled"):
@@ -174,8 +193,15 @@
 def test_who_answers_a_report_stops_what_it_knows_to_be_cancelled(cancelled):
     """Without a word of the job's home, which may be cut off from here alone."""
     part, machine, _ = part_of_a_cancelled_job(cancelled)
-    beat(part, 2, [ReportedTask("wk-1/0", 70, "running"), ReportedTask("wk-1/1", 71, "saving"),
-                   ReportedTask("wk-1/2", 72, "ended", "halted")])
+    beat(
+        part,
+        2,
+        [
+            ReportedTask("wk-1/0", 70, "running"),
+            ReportedTask("wk-1/1", 71, "saving"),
+            ReportedTask("wk-1/2", 72, "ended", "halted"),
+        ],
+    )
     halts = [("halt", "wk-1/0", 70), ("halt", "wk-1/1", 71)]
     assert verbs(part, machine) == (halts if cancelled else [])
     assert all(order["wind_down_s"] == 0.0 for order in part.orders(machine))
--- a/tests/test_meetings_hosts.py
+++ b/tests/test_meetings_hosts.py
@@ -21,7 +21,6 @@
 # -- machines that boot at once ---------------------------------------------------
 
 
-
 @pytest.mark.parametrize("how", ("followed", "read anew"))
 def test_a_record_that_is_shown_after_the_answer_to_its_drop_is_no_leave_to_run(how):
     """Its put is answered as the machine lapses, its drop at once; then the copy of the store shows the put, only that.
@@ -63,8 +62,9 @@
     machine = alone.beat(name, 1)
     put = alone.batch()
     assert MACHINES + name in put.puts
-    alone.node.part.on_grant("host-0", m.Grant(alone.node.part.reserve(machine, "wk-000001", 1), "wk-000001", name,
-                                               [(0, 70)]), alone.t)
+    alone.node.part.on_grant(
+        "host-0", m.Grant(alone.node.part.reserve(machine, "wk-000001", 1), "wk-000001", name, [(0, 70)]), alone.t
+    )
     assert not alone.node.part.orders(machine), "not before the store holds its record"
     if carried_out == "before the view":
         alone.node.batch_done(put, alone.carry_out(put).epoch, alone.t)
@@ -180,8 +180,12 @@
 
     def known(self):
         """All machines, as their parts know them."""
-        return {name: machine for sim in self.nodes.values() if sim.node is not None
-                for name, machine in sim.node.part.machines.items()}
+        return {
+            name: machine
+            for sim in self.nodes.values()
+            if sim.node is not None
+            for name, machine in sim.node.part.machines.items()
+        }
 
     def make_job(self, number):
         spec = super().make_job(number)
@@ -206,13 +210,24 @@
         if world.t - since > c.BOOT_PATIENCE * 10.0 + c.LOST_S + OUT_S + 20.0:  # rented that long ago
             assert worker is not None and worker.alive, f"{name} is gone, or never came, and is paid for"
             assert known[name].recorded, f"{name} is up, and nobody's"
-    assert not [job for job in world.accepted if job not in world.said and not world.specs[job].service
-                and world.specs[job].team == "free" and job not in world.cancelled_at]
+    assert not [
+        job
+        for job in world.accepted
+        if job not in world.said
+        and not world.specs[job].service
+        and world.specs[job].team == "free"
+        and job not in world.cancelled_at
+    ]
 
 
 # -- mute machines, and old reports for a new leader ------------------------------------
-OLD = [[RUNNING], [], [ReportedTask("wk-1/0", 60, "ended", "done")], [ReportedTask("wk-1/0", 60, "ended", "halted")],
-       [ReportedTask("wk-1/0", 60, "ended", "error")]]
+OLD = [
+    [RUNNING],
+    [],
+    [ReportedTask("wk-1/0", 60, "ended", "done")],
+    [ReportedTask("wk-1/0", 60, "ended", "halted")],
+    [ReportedTask("wk-1/0", 60, "ended", "error")],
+]
 
 
 @pytest.mark.parametrize("shows", OLD)
@@ -335,9 +350,14 @@
 
     def runs(self, machines):
         """Tasks that homes have on these machines."""
-        return [(name, index, run.state) for sim in self.nodes.values() if sim.node is not None
-                for name, job in sim.node.home.jobs.items()
-                for index, run in job.runs.items() if run.machine in machines]
+        return [
+            (name, index, run.state)
+            for sim in self.nodes.values()
+            if sim.node is not None
+            for name, job in sim.node.home.jobs.items()
+            for index, run in job.runs.items()
+            if run.machine in machines
+        ]
 
 
 def test_five_controllers_get_an_old_report_as_a_new_leader_begins_and_none_takes_it_for_news():
@@ -356,9 +376,13 @@
 
     def known(node):
         """What a part knows of its machines, and a home of its tasks."""
-        return ({name: (one.acked, one.state, dict(one.tasks), dict(one.ordered), dict(one.pending))
-                 for name, one in node.part.machines.items()},
-                {name: (dict(job.runs), set(job.unknown), job.done.count) for name, job in node.home.jobs.items()})
+        return (
+            {
+                name: (one.acked, one.state, dict(one.tasks), dict(one.ordered), dict(one.pending))
+                for name, one in node.part.machines.items()
+            },
+            {name: (dict(job.runs), set(job.unknown), job.done.count) for name, job in node.home.jobs.items()},
+        )
 
     while not newer():
         world.run(world.t + 0.02)
@@ -431,8 +455,17 @@
             self.after(2.0, self.submit, self.make_job(number))
 
     def make_job(self, number):
-        return msgspec.structs.replace(super().make_job(number), kind="sweep", team="free", tasks=14, cpus=4.0,
-                                       types=["small"], zone=None, spot=True, estimate_s=self.rng.uniform(200.0, 300.0))
+        return msgspec.structs.replace(
+            super().make_job(number),
+            kind="sweep",
+            team="free",
+            tasks=14,
+            cpus=4.0,
+            types=["small"],
+            zone=None,
+            spot=True,
+            estimate_s=self.rng.uniform(200.0, 300.0),
+        )
 
 
 def test_nothing_waits_for_a_hundred_mute_machines_when_the_leader_ends():
@@ -452,8 +485,12 @@
         world.run(world.t + 0.25)
     began = world.t
     world.run(began + 4.0)
-    known = {name: machine for sim in world.nodes.values() if sim.node is not None
-             for name, machine in sim.node.part.machines.items()}
+    known = {
+        name: machine
+        for sim in world.nodes.values()
+        if sim.node is not None
+        for name, machine in sim.node.part.machines.items()
+    }
     acked = [name for name in mute if known[name].acked]
     assert len(acked) > 70, "they are asked, and acknowledge; some of the commands are late"
     assert world.runs(set(acked)), "what they run counts as theirs until proof"
--- a/tests/test_meetings_limits.py
+++ b/tests/test_meetings_limits.py
@@ -77,7 +77,7 @@
     one.told_home()
     one.enter(6, 2.0, settle=False, carry=True)
     one.part.settle(2.5)
-    (told, held), = one.told_home()
+    ((told, held),) = one.told_home()
     assert (told, held) == ([], [("wk-1", 0, 70)])
     heir.told("n-2")
     assert heir.used == 2, "both may be on the machine that has not been heard"
@@ -114,8 +114,13 @@
 
 def test_an_allowance_of_the_old_leader_grants_nothing_under_the_next():
     heir = Heir(machines=())
-    job = Job(Record(JobState.ACTIVE, "host-1", 0.0, 2, [], msgspec.structs.replace(BOUND, id="wk-2")), 1, 0.0, 0.0,
-              fresh=True)
+    job = Job(
+        Record(JobState.ACTIVE, "host-1", 0.0, 2, [], msgspec.structs.replace(BOUND, id="wk-2")),
+        1,
+        0.0,
+        0.0,
+        fresh=True,
+    )
     heir.home.join(job)
     heir.home.allot({"bound": (2 * CPUS, 0.0)})
     assert heir.home._team_room(job) == 2
@@ -129,6 +134,7 @@
 
 # -- what the leader gives -----------------------------------------------------------
 
+
 class Shares:
     """A leader and two homes: one has a task of the team running, and waiting jobs."""
 
@@ -228,21 +234,39 @@
         self.meets = True  # users cancel through any controller
         rng = self.rng
         for number in range(36):
-            self.after(rng.uniform(1.0, 15.0) if number < 15 else rng.uniform(15.0, 110.0), self.submit,
-                       self.make_bound(number))
+            self.after(
+                rng.uniform(1.0, 15.0) if number < 15 else rng.uniform(15.0, 110.0),
+                self.submit,
+                self.make_bound(number),
+            )
         for number in range(SPELLS):
             self.after(30.0 + SPELL_S * number + rng.uniform(0.0, 10.0), self.spell)
 
     def make_bound(self, number: int):
         rng, service = self.rng, self.rng.random() < 0.15
         return msgspec.structs.replace(
-            self.make_job(number), team=TIGHT[number % 3].name, kind="standing" if service else "sweep",
-            tasks=2 if service else rng.randint(1, 9), job_class="long", spot=True, types=None,
-            estimate_s=0.0 if service else 60.0)
+            self.make_job(number),
+            team=TIGHT[number % 3].name,
+            kind="standing" if service else "sweep",
+            tasks=2 if service else rng.randint(1, 9),
+            job_class="long",
+            spot=True,
+            types=None,
+            estimate_s=0.0 if service else 60.0,
+        )
 
     def make_filler(self, number: int):
-        return msgspec.structs.replace(self.make_bound(number), kind="sweep", tasks=16, cpus=1.0, job_class="soon",
-                                       estimate_s=1000.0, zone=None, one_zone=False, spread=False)
+        return msgspec.structs.replace(
+            self.make_bound(number),
+            kind="sweep",
+            tasks=16,
+            cpus=1.0,
+            job_class="soon",
+            estimate_s=1000.0,
+            zone=None,
+            one_zone=False,
+            spread=False,
+        )
 
     def spell(self) -> None:
         """Machines hang, are cut off or die; what runs on them is cancelled; the leader, or a home of it, ends."""
@@ -272,8 +296,9 @@
         if job not in self.said:
             out = [self.machines[name] for part, name in self.on.items() if wire.split_task(part)[0] == job]
             self.cancelled_running += bool(out)
-            self.cancelled_out += any(worker.hangs_until > self.t or worker.cut_until > self.t for worker in out
-                                      if worker is not None)
+            self.cancelled_out += any(
+                worker.hangs_until > self.t or worker.cut_until > self.t for worker in out if worker is not None
+            )
         self.withdraw(job)
 
     def fail(self, name: str, kind: str, length: float) -> None:
@@ -287,8 +312,11 @@
             setattr(worker, attribute[kind], self.t + length)
 
     def end_one(self, leader: bool, back: float) -> None:
-        label = msgspec.json.decode(self.store.data[VIEW][0], type=View).leader if leader and VIEW in self.store.data \
+        label = (
+            msgspec.json.decode(self.store.data[VIEW][0], type=View).leader
+            if leader and VIEW in self.store.data
             else self.rng.choice(self.labels)
+        )
         self.end(self.nodes[label], back)
 
     def entered(self, part, worker) -> None:
@@ -307,8 +335,11 @@
 
     def look_beside_room(self) -> None:
         """By what is true of machines and users, whatever the controllers take for true."""
-        rooms = {worker: TYPES[worker.kind.type].cpus for worker in self.machines.values()
-                 if worker is not None and worker.alive and not worker.faulty and worker.recall_at is None}
+        rooms = {
+            worker: TYPES[worker.kind.type].cpus
+            for worker in self.machines.values()
+            if worker is not None and worker.alive and not worker.faulty and worker.recall_at is None
+        }
         zones: dict[str, list[str]] = {}
         for worker in rooms:
             for part, task in worker.tasks.items():
@@ -321,11 +352,17 @@
             spec, there = self.specs[job], zones.get(job, [])
             done = sum(f"{job}/{index}" in self.completed for index in range(spec.tasks))
             waits = job not in self.said and job not in self.cancelled_at and done + len(there) < spec.tasks
-            if not waits or spec.cpus > left[spec.team] + 1e-9 or not any(
-                    room >= spec.cpus and placement.allowed(spec, worker.kind.type, worker.kind.zone, worker.kind.spot)
+            if (
+                not waits
+                or spec.cpus > left[spec.team] + 1e-9
+                or not any(
+                    room >= spec.cpus
+                    and placement.allowed(spec, worker.kind.type, worker.kind.zone, worker.kind.spot)
                     and (not spec.one_zone or not there or worker.kind.zone == there[0])
                     and (not spec.spread or there.count(worker.kind.zone) < math.ceil(spec.tasks / 2))
-                    for worker, room in rooms.items()):
+                    for worker, room in rooms.items()
+                )
+            ):
                 self.beside.pop(job, None)
             elif self.t - self.beside.setdefault(job, self.t) > BESIDE_S:
                 raise Broken(f"beside_room: {job} of {spec.team} since {self.beside[job]:.1f}")
@@ -386,8 +423,10 @@
     monkeypatch.setattr(Barrier, "holds", lambda self, spec: False)
 
 
-@pytest.mark.parametrize("fault, seeds", [(shrunk_with_its_end, range(3, 12)), (not_waiting_for_all, range(5, 14)),
-                                          (free_without_proof, range(4, 13))])
+@pytest.mark.parametrize(
+    "fault, seeds",
+    [(shrunk_with_its_end, range(3, 12)), (not_waiting_for_all, range(5, 14)), (free_without_proof, range(4, 13))],
+)
 def test_each_guard_is_seen_to_fail_when_it_is_taken_out(monkeypatch, fault, seeds):
     fault(monkeypatch)
     for seed in seeds:
--- a/tests/test_meetings_looks.py
+++ b/tests/test_meetings_looks.py
@@ -25,13 +25,34 @@
 from alderbridge.store import JOBS, MEMBERS, VIEW, Refused
 from alderbridge.view import Presence, View, choose
 
-BODY = {"workload": "x", "owner": "free", "shape": "sweep", "urgency": "standard", "parts": 1, "vcpus": 1.0,
-        "accelerators": 0.0, "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "together": False, "apart": False,
-        "standby": True, "expected_s": 10.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0}
+BODY = {
+    "workload": "x",
+    "owner": "free",
+    "shape": "sweep",
+    "urgency": "standard",
+    "parts": 1,
+    "vcpus": 1.0,
+    "accelerators": 0.0,
+    "mem_gb": 1.0,
+    "bundle": "i",
+    "image_gb": 1.0,
+    "together": False,
+    "apart": False,
+    "standby": True,
+    "expected_s": 10.0,
+    "snapshot_every_s": 0.0,
+    "snapshot_s": 0.0,
+}
 MACHINE, STEP_S = "n-000001", 0.02
 # what a user may send as a repeated submission
-REPEATS = {"same": {}, "another body": {"parts": 7, "vcpus": 2.0}, "unknown team": {"owner": "nobody"},
-           "fits nothing": {"vcpus": 500.0}, "malformed": {"parts": 0}, "lacks a field": {"bundle": None}}
+REPEATS = {
+    "same": {},
+    "another body": {"parts": 7, "vcpus": 2.0},
+    "unknown team": {"owner": "nobody"},
+    "fits nothing": {"vcpus": 500.0},
+    "malformed": {"parts": 0},
+    "lacks a field": {"bundle": None},
+}
 
 
 class Broken(AssertionError):
@@ -291,8 +312,9 @@
             one = node.home.jobs.get(job)
             if one is not None and (ended or one.state is JobState.ACTIVE) and node.membership.may_act(self.t):
                 self.run(one)
-                node.home.on_seen(node.me, m.Seen(MACHINE, "a", 1 << 40, [m.SeenTask(job, 0, 7, "ended", "done")], []),
-                                  self.t)
+                node.home.on_seen(
+                    node.me, m.Seen(MACHINE, "a", 1 << 40, [m.SeenTask(job, 0, 7, "ended", "done")], []), self.t
+                )
                 return True
         return False
 
@@ -310,6 +332,7 @@
 
 # -- asked at each node, right after another has told it
 
+
 async def bring(service: Service, state: str, home: str, teller: str, trouble) -> str:
     """A job that the teller has told to be accepted, done or cancelled; the trouble begins when it is stored."""
     job = service.fresh()
@@ -345,6 +368,7 @@
 @pytest.mark.parametrize("state", ("accepted", "done", "cancelled"))
 def test_no_node_answers_older_than_any_has_told(service, state, trouble):
     """Told by each of the five, asked at each other: a poll, the submission again in all its forms, a cancel."""
+
     async def play():
         await service.start()
         for number, teller in enumerate(LABELS):
@@ -396,6 +420,7 @@
 @pytest.mark.parametrize("end", ("done", "aborted"))
 def test_a_home_that_was_replaced_tells_nothing_of_what_it_was_home_to(service, end):
     """It is alive, and users reach it; its hold has ended, and what it has in memory has gone on elsewhere."""
+
     async def play():
         await service.start()
         job, home = service.fresh(), LABELS[1]
@@ -423,10 +448,15 @@
 
 def test_an_inherited_job_does_not_end_while_its_earlier_home_may_still_tell_of_it(service):
     """A member joins and is the home of what another was home to, who acts and does not know that view yet."""
+
     async def play():
         await service.start()
-        gone, new = next((gone, new) for gone in LABELS for new in LABELS
-                         if gone != new and choose(gone, sorted({*LABELS} - {gone})) == new)
+        gone, new = next(
+            (gone, new)
+            for gone in LABELS
+            for new in LABELS
+            if gone != new and choose(gone, sorted({*LABELS} - {gone})) == new
+        )
         old = choose(gone, sorted({*LABELS} - {gone, new}))
         job = service.fresh()
         assert (await service.answer(gone, "submit", job))[0] == 201
@@ -466,6 +496,7 @@
 
 def test_what_one_before_it_took_along_is_not_called_pending_from_its_record(service):
     """Its home can't write its end; others know it for long; one hears nothing, and reads the record."""
+
     async def play():
         await service.start()
         first, second = service.fresh(), service.fresh()
@@ -494,6 +525,7 @@
 
 def test_a_job_read_ahead_of_the_views_is_no_affair_of_who_read_it(service):
     """A member went, came back and accepted it, under a view that this one has yet to hear of, behind another."""
+
     async def play():
         await service.start()
         back = LABELS[0]
@@ -527,6 +559,7 @@
 
 # -- the end of the last task
 
+
 @pytest.mark.parametrize("first", ("result", "cancel"))
 @pytest.mark.parametrize("cut_in", range(5))
 def test_a_cancel_and_the_last_result_end_a_job_once(service, first, cut_in):
@@ -534,6 +567,7 @@
 
     ``cut_in``: how far the write of the first has come: not begun, sent, carried out, answered, lost and carried out.
     """
+
     async def play():
         await service.start()
         job, home, other = service.fresh(), LABELS[1], LABELS[3]
@@ -564,7 +598,7 @@
             await cancel()
         if cut_in:
             await turn()
-            writes, = [call for call in gate.waiting if call.lossy]
+            (writes,) = [call for call in gate.waiting if call.lossy]
             if cut_in > 1:
                 writes.asked, writes.answer = True, gate._carry_out(writes.action)
             if cut_in == 3:
@@ -600,6 +634,7 @@
 
 def test_a_job_is_called_done_soon_after_its_last_task(service):
     """At every node, within 3 s of the result's arrival at its home."""
+
     async def play():
         await service.start()
         for home in LABELS:
@@ -618,6 +653,7 @@
 
 # -- everything at once
 
+
 class Storm:
     """Users at all nodes, each step of store, mesh and controllers in a random order; processes end and return."""
 
--- a/tests/test_meetings_machines.py
+++ b/tests/test_meetings_machines.py
@@ -24,8 +24,14 @@
 
     def __init__(self) -> None:
         self.sent: list = []
-        self.part = Part("host-0", LEASE_S, lambda label, body: self.sent.append((label, body)) or len(self.sent),
-                         lambda job: SPEC, lambda job: "host-1", Random(1))
+        self.part = Part(
+            "host-0",
+            LEASE_S,
+            lambda label, body: self.sent.append((label, body)) or len(self.sent),
+            lambda job: SPEC,
+            lambda job: "host-1",
+            Random(1),
+        )
         self.part.upto = lambda label: 7
         self.enter(5, 0.0, continued=False)
 
@@ -43,8 +49,9 @@
         return (self.part.on_asked if asked else self.part.on_beat)(beat, now)
 
     def grant(self, index, attempt, now=0.0):
-        self.part.on_grant("host-1", Grant(self.part.reserve(self.machine, "wk-1", 1), "wk-1", "n-1",
-                                           [(index, attempt)]), now)
+        self.part.on_grant(
+            "host-1", Grant(self.part.reserve(self.machine, "wk-1", 1), "wk-1", "n-1", [(index, attempt)]), now
+        )
 
     def orders(self):
         return [(order["verb"], order["part"], order["try"]) for order in self.part.orders(self.machine)]
@@ -57,6 +64,7 @@
 
 # -- a change of view while machines are deaf -----------------------------------
 
+
 def test_a_machine_that_accepts_no_answer_lapses_by_its_own_reports():
     """Each report renewed the wait for its silence: its tasks waited behind the barrier for as long as it was deaf."""
     one = Told()
@@ -226,16 +234,26 @@
     def make_job(self, number):
         """Long tasks, so that most outlast what happens here."""
         spec = super().make_job(number)
-        return msgspec.structs.replace(spec, tasks=min(spec.tasks, 4), one_zone=False, spread=False,
-                                       estimate_s=spec.estimate_s and self.rng.uniform(40.0, 120.0))
+        return msgspec.structs.replace(
+            spec,
+            tasks=min(spec.tasks, 4),
+            one_zone=False,
+            spread=False,
+            estimate_s=spec.estimate_s and self.rng.uniform(40.0, 120.0),
+        )
 
     def workers(self):
         return [worker for worker in self.machines.values() if worker is not None and worker.alive]
 
     def inherited(self):
         """Tasks that wait for a proof, at all homes."""
-        return sum(len(job.unknown) for sim in self.nodes.values() if sim.node is not None
-                   for job in sim.node.home.jobs.values() if job.state is JobState.ACTIVE)
+        return sum(
+            len(job.unknown)
+            for sim in self.nodes.values()
+            if sim.node is not None
+            for job in sim.node.home.jobs.values()
+            if job.state is JobState.ACTIVE
+        )
 
     def leader(self):
         return next(sim for sim in self.nodes.values() if sim.node is not None and sim.node.membership.leads(self.t))
@@ -262,8 +280,14 @@
     assert not world.inherited()
     world.run(300.0)
     world.remembered()
-    assert not [job for job in world.accepted if job not in world.said and not world.specs[job].service
-                and world.specs[job].team == "free" and job not in world.cancelled_at], "the other team has a limit"
+    assert not [
+        job
+        for job in world.accepted
+        if job not in world.said
+        and not world.specs[job].service
+        and world.specs[job].team == "free"
+        and job not in world.cancelled_at
+    ], "the other team has a limit"
 
 
 def test_tasks_do_not_stay_granted_to_a_machine_that_does_not_hear():
@@ -309,6 +333,7 @@
 
 # -- old reports ------------------------------------------------------------------
 
+
 @pytest.mark.parametrize("tenure, counter", ((2, 3), (2, 2), (1, 99)))
 def test_a_copy_of_a_report_renews_frees_and_acknowledges_nothing(tenure, counter):
     """The same, an older one, one of the session before whose counter is higher: all came before the newest report."""
@@ -323,10 +348,17 @@
     one.part.on_halt(Halt("n-1", "wk-1", 0, 70, 0.0))
     one.told_home()
     machine = one.machine
-    before = (machine.heard_at, machine.news, dict(machine.tasks), dict(machine.pending), dict(machine.reserved),
-              dict(machine.halts))
-    assert one.beat(9.0, counter, tenure=tenure, tasks=[ReportedTask("wk-1/5", 75, "ended", "done")]) is None, \
+    before = (
+        machine.heard_at,
+        machine.news,
+        dict(machine.tasks),
+        dict(machine.pending),
+        dict(machine.reserved),
+        dict(machine.halts),
+    )
+    assert one.beat(9.0, counter, tenure=tenure, tasks=[ReportedTask("wk-1/5", 75, "ended", "done")]) is None, (
         "a 200 would carry orders"
+    )
     assert before == (machine.heard_at, machine.news, machine.tasks, machine.pending, machine.reserved, machine.halts)
     assert not one.told_home()
     one.part.check_leases(2.0 + OUT_S + 0.1)
@@ -379,9 +411,11 @@
     world.run(40.0)
     home, part, name, index, run = next(
         (sim.node, world.nodes[sim.node.membership.part_of(run.machine)].node, name, index, run)
-        for sim in world.nodes.values() for name, job in sim.node.home.jobs.items()
+        for sim in world.nodes.values()
+        for name, job in sim.node.home.jobs.items()
         for index, run in job.runs.items()
-        if sim.node.membership.part_of(run.machine) != sim.label and run.state is TaskState.RUNNING)
+        if sim.node.membership.part_of(run.machine) != sim.label and run.state is TaskState.RUNNING
+    )
     old = part.channels[home.me].tell(Seen(run.machine, run.zone, 10**6, [], []))
     mandate = home.membership.mandate
     world.end(next(sim for sim in world.nodes.values() if sim.node not in (home, part)), 1.0)
@@ -395,6 +429,7 @@
 
 # -- late commands, and answers to them ------------------------------------------------
 
+
 def test_an_asked_acknowledgement_that_comes_late_knows_nothing_of_orders():
     """Asked in view 5, its answer held up; an ordinary report acknowledged, and a task was started in between."""
     one = Told()
@@ -599,12 +634,14 @@
     world = FarApart(seed, jobs=16, nodes=nodes)
     world.copies = 0.3
     for number in range(10):
+
         def trouble(number=number):
             leads = [sim for sim in world.nodes.values() if sim.node is not None and sim.node.membership.leads(world.t)]
             for sim in leads:
                 world.end(sim, (0.2, 3.0)[number % 2])
             for worker in world.rng.sample(world.workers(), len(world.workers()) // 4):
                 worker.deaf_until = world.t + world.rng.uniform(5.0, 40.0)
+
         world.after(20.0 + 20.0 * number, trouble)
     world.run(480.0)
     world.remembered()
--- a/tests/test_meetings_outage.py
+++ b/tests/test_meetings_outage.py
@@ -60,8 +60,12 @@
 def test_a_drop_that_had_no_answer_is_not_taken_back():
     world = World(5, trouble=False, jobs=3)
     world.run(40.0)
-    node, name = next((sim.node, name) for sim in world.nodes.values() for name in sorted(sim.node.part.machines)
-                      if sim.node.part.machines[name].recorded)
+    node, name = next(
+        (sim.node, name)
+        for sim in world.nodes.values()
+        for name in sorted(sim.node.part.machines)
+        if sim.node.part.machines[name].recorded
+    )
     node.part.machines[name].lapse()
     node.part._unrecord(node.part.machines[name])
     assert Node.keep_record(node, name) and not node.keep_record(name), "once: nothing is to be dropped any more"
--- a/tests/test_meetings_rooms.py
+++ b/tests/test_meetings_rooms.py
@@ -64,8 +64,11 @@
                     held.setdefault(job, []).append((part, worker.kind.zone))
                     team = world.specs[job].team
                     used[team] = used.get(team, 0.0) + world.specs[job].cpus
-            if (now >= max(worker.hangs_until, worker.cut_until, worker.deaf_until) and not worker.faulty
-                    and worker.recall_at is None):
+            if (
+                now >= max(worker.hangs_until, worker.cut_until, worker.deaf_until)
+                and not worker.faulty
+                and worker.recall_at is None
+            ):
                 rooms.append((worker.kind, free))
         limits = {team.name: team.cpus_max for team in TEAMS if team.cpus_max}
         beside = set()
@@ -81,9 +84,12 @@
                 continue
             zones = [zone for _, zone in there]
             for kind, room in rooms:
-                if (placement.fits(spec, room) and placement.allowed(spec, kind.type, kind.zone, kind.spot)
-                        and not (spec.one_zone and zones and kind.zone not in zones)
-                        and not (spec.spread and zones.count(kind.zone) >= math.ceil(spec.tasks / 2))):
+                if (
+                    placement.fits(spec, room)
+                    and placement.allowed(spec, kind.type, kind.zone, kind.spot)
+                    and not (spec.one_zone and zones and kind.zone not in zones)
+                    and not (spec.spread and zones.count(kind.zone) >= math.ceil(spec.tasks / 2))
+                ):
                     beside.add(job)
                     break
         for job in list(self.waiting):
@@ -132,8 +138,9 @@
         self.late_starts: list[str] = []  # ordered after their job was confirmed as cancelled
         self.hopes: dict[Submission, tuple] = {}
         self.takes_users = list(LABELS)
-        super().__init__(seed, jobs=0, trouble=False, nodes=5, machines=machines, coming=NextState(write_rps=write_rps),
-                         **more)
+        super().__init__(
+            seed, jobs=0, trouble=False, nodes=5, machines=machines, coming=NextState(write_rps=write_rps), **more
+        )
         self.meets = True  # users cancel through any controller
         self.calm_at = math.inf  # when troubles are over each test says to its own judge
         self.rate, self.level, self.filled_at, self.too_fast, self.changes = write_rps, write_rps, 0.0, 0, 0
@@ -163,8 +170,9 @@
     def attempt(self, spec: wire.JobSpec) -> None:
         if spec.id in self.accepted_at:  # its user was told; the store may have had it before
             return
-        healthy = [label for label in self.takes_users if (node := self.nodes[label].node) is not None
-                   and node.may_act()]
+        healthy = [
+            label for label in self.takes_users if (node := self.nodes[label].node) is not None and node.may_act()
+        ]
         if not healthy:
             self.after(1.0, self.attempt, spec)
             return
@@ -221,14 +229,30 @@
 
 def array(number, **more):
     """One task of one CPU that may run anywhere, but for what is named."""
-    spec = wire.JobSpec(id=f"wk-{number:06d}", job_class="soon", team="free", kind="sweep", priority="standard",
-                        tasks=1, cpus=1.0, memory_gb=2.0, image="p", image_gb=1.0, estimate_s=6.0, types=None,
-                        zone=None, one_zone=False, spread=False, spot=True)
+    spec = wire.JobSpec(
+        id=f"wk-{number:06d}",
+        job_class="soon",
+        team="free",
+        kind="sweep",
+        priority="standard",
+        tasks=1,
+        cpus=1.0,
+        memory_gb=2.0,
+        image="p",
+        image_gb=1.0,
+        estimate_s=6.0,
+        types=None,
+        zone=None,
+        one_zone=False,
+        spread=False,
+        spot=True,
+    )
     return msgspec.structs.replace(spec, **more)
 
 
 # -- a stream of one-task jobs -------------------------------------------------------------
 
+
 class Stream(Rooms):
     """``rate`` jobs a second, of which users cancel each fourth within seconds, some at once."""
 
@@ -324,6 +348,7 @@
 
 # -- a zone that is cut off ----------------------------------------------------------------
 
+
 class ZoneNode(RoomsNode):
     """While its zone is away it reaches that zone's workers alone, and nobody outside reaches them."""
 
@@ -362,8 +387,14 @@
         rng = self.rng
         for number in range(jobs):
             where = [{"zone": "a"}, {"zone": "b"}, {"one_zone": True}, {"spread": True}][number % 4]
-            spec = array(number, tasks=rng.randint(2, 9), cpus=rng.choice([1.0, 2.0]), **where,
-                         estimate_s=rng.uniform(15.0, 50.0), team="free" if number % 6 else "bound")
+            spec = array(
+                number,
+                tasks=rng.randint(2, 9),
+                cpus=rng.choice([1.0, 2.0]),
+                **where,
+                estimate_s=rng.uniform(15.0, 50.0),
+                team="free" if number % 6 else "bound",
+            )
             self.after(rng.uniform(5.0, 60.0), self.send, spec)
 
     def boot(self, name, kind) -> None:
@@ -439,6 +470,7 @@
 
 # -- more work than room -------------------------------------------------------------------
 
+
 class Crowd(Rooms):
     """Urgent work and other, some three times what the machines can do while it comes; a few need whole machines."""
 
@@ -447,10 +479,16 @@
         rng = self.rng
         for number in range(jobs):
             urgent, large = number % 3 == 0, number % 11 == 5
-            spec = array(number, tasks=3 if large else rng.randint(3, 10), cpus=16.0 if large else 2.0,
-                         estimate_s=rng.uniform(4.0, 9.0), job_class="soon" if urgent else "x",
-                         types=["large"] if large else None, priority="production" if urgent else "best_effort",
-                         team="bound" if number % 4 == 1 and not large else "free")
+            spec = array(
+                number,
+                tasks=3 if large else rng.randint(3, 10),
+                cpus=16.0 if large else 2.0,
+                estimate_s=rng.uniform(4.0, 9.0),
+                job_class="soon" if urgent else "x",
+                types=["large"] if large else None,
+                priority="production" if urgent else "best_effort",
+                team="bound" if number % 4 == 1 and not large else "free",
+            )
             self.after(5.0 + for_s * number / jobs, self.send, spec)
 
     def slow_links(self, until: float) -> None:
@@ -475,8 +513,11 @@
 
 
 def begin_waits(world, priority):
-    return sorted(world.began.get(job, world.t) - world.sent_at[job] for job in world.sent_at
-                  if world.specs[job].priority == priority)
+    return sorted(
+        world.began.get(job, world.t) - world.sent_at[job]
+        for job in world.sent_at
+        if world.specs[job].priority == priority
+    )
 
 
 @pytest.mark.parametrize("seed, away_s", [(1, 0.0), (2, LEASE_S + 8.0)])
@@ -490,15 +531,19 @@
 
 def no_room_in_a_zone(monkeypatch):
     candidate = Part.candidate
-    monkeypatch.setattr(Part, "candidate", lambda self, machine, now: None if machine.zone == "b" else candidate(
-        self, machine, now))
+    monkeypatch.setattr(
+        Part, "candidate", lambda self, machine, now: None if machine.zone == "b" else candidate(self, machine, now)
+    )
 
 
 def reservations_stay(monkeypatch):
     """What was asked of a home counts as taken for ever, whatever it granted."""
     on_grant = Part.on_grant
-    monkeypatch.setattr(Part, "on_grant", lambda self, label, grant, now: on_grant(
-        self, label, msgspec.structs.replace(grant, take=-1), now))
+    monkeypatch.setattr(
+        Part,
+        "on_grant",
+        lambda self, label, grant, now: on_grant(self, label, msgspec.structs.replace(grant, take=-1), now),
+    )
 
 
 @pytest.mark.parametrize("fault", (no_room_in_a_zone, reservations_stay))
--- a/tests/test_meetings_store.py
+++ b/tests/test_meetings_store.py
@@ -27,8 +27,19 @@
 from alderbridge.store import BUDGETS, CLAIMS, DECLARED, JOBS, LISTS, MACHINES, MEMBERS, VIEW
 from alderbridge.view import Presence, View, choose
 
-SPEC = wire.JobSpec(id="wk-000001", job_class="x", team="free", kind="sweep", priority="standard", tasks=3, cpus=1.0,
-                    memory_gb=1.0, image="i", image_gb=1.0, estimate_s=10.0)
+SPEC = wire.JobSpec(
+    id="wk-000001",
+    job_class="x",
+    team="free",
+    kind="sweep",
+    priority="standard",
+    tasks=3,
+    cpus=1.0,
+    memory_gb=1.0,
+    image="i",
+    image_gb=1.0,
+    estimate_s=10.0,
+)
 LEASE_S = 17.0
 SETTLED_S = 25.0  # until a view counts as settled where a member is not heard, and more
 
@@ -124,8 +135,9 @@
         return batch
 
     def beat(self, name: str, counter: int, tasks=(), tenure: int = 1):
-        return self.node.beat(wire.Beat(name, "x", "small", tenure, counter, self.node.membership.mandate, "a",
-                                        tasks=list(tasks)), self.t)
+        return self.node.beat(
+            wire.Beat(name, "x", "small", tenure, counter, self.node.membership.mandate, "a", tasks=list(tasks)), self.t
+        )
 
     def up(self, name: str) -> None:
         """A machine of this part that has reported and is in the store."""
@@ -155,6 +167,7 @@
 
 # -- records of machines
 
+
 @pytest.mark.parametrize("how", (Alone.follow, Alone.reload))
 @pytest.mark.parametrize("end", ("lapsed", "returned"))
 def test_a_machines_record_that_is_carried_out_late_goes_again_at_once(end, how):
@@ -295,6 +308,7 @@
 
 # -- records of jobs
 
+
 def test_a_result_is_not_cleared_before_the_store_holds_it():
     """While its record was on its way, a report of another task on the machine had the result cleared there."""
     alone = Alone()
@@ -405,11 +419,11 @@
     there.go(2.0)
     state = there.node.withdraw(SPEC.id, there.t)
     there.write()
-    assert (state, there.node.state_here(SPEC.id, there.t)[0]) == (
-        ("done", "done") if carried_out else ("", "aborted"))
+    assert (state, there.node.state_here(SPEC.id, there.t)[0]) == (("done", "done") if carried_out else ("", "aborted"))
     there.go(1.0)
     assert msgspec.json.decode(there.store.data[JOBS + SPEC.id][0], type=Record).state.value == (
-        "done" if carried_out else "aborted")
+        "done" if carried_out else "aborted"
+    )
 
 
 def test_progress_that_is_carried_out_late_takes_nothing_back():
@@ -479,6 +493,7 @@
 
 # -- lists beside records
 
+
 def test_lists_whose_drop_had_no_answer_are_dropped_again():
     alone = Alone()
     keys = [f"{LISTS}wk-000009/x/{number}" for number in range(3)]
@@ -518,6 +533,7 @@
 
 # -- claims
 
+
 @pytest.mark.parametrize("failed", (False, True))
 def test_claims_on_their_way_are_not_forgotten_when_the_store_is_read_anew(failed):
     """Under the same view they may yet be stored: planned without them, a job that they stop asked for others' room."""
@@ -557,6 +573,7 @@
 
 # -- declarations
 
+
 def test_the_answer_to_a_text_does_not_bring_it_back_when_another_head_has_dropped_it():
     """Counted on as stored, it was named by this file's head: nobody could read that, and all stopped acting."""
     raw = msgspec.json.encode({"words": ["a" * 900]})
@@ -568,7 +585,7 @@
     one.apply(DECLARED + "hours", msgspec.json.encode(head), 5)
     one.look(0.0)
     proposal = one.due(membership, 0.0, 0.0, 1, 512)  # room for one text, the head is to follow
-    (key, piece), = proposal.puts.items()
+    ((key, piece),) = proposal.puts.items()
     assert key in records.piece_keys("hours", Revision(3, own.digest, records.parts_of(raw, 512)))
     one.apply(key, msgspec.json.encode(piece), 7)  # the replica shows it, and the other's head, before the answer
     one.apply(key, None, 8)
@@ -581,6 +598,7 @@
 
 # -- what users are told
 
+
 def asking(monkeypatch):
     """A controller that knows a job's home to be host-1, at work, and what it knows of the job's end."""
     control = Controller(platform("host-0", ["host-0", "host-1"]), Tuning(), Poll())
@@ -652,23 +670,45 @@
     async def get(key):
         if found is None:
             raise Unanswered(key)
-        return wire.Row(key, msgspec.Raw(msgspec.json.encode(Record(JobState.ACTIVE, "host-1", 0.0, 3, [], SPEC))),
-                        5) if found else None
+        return (
+            wire.Row(key, msgspec.Raw(msgspec.json.encode(Record(JobState.ACTIVE, "host-1", 0.0, 3, [], SPEC))), 5)
+            if found
+            else None
+        )
 
     node = control.node
     node.loaded, node.home.value_bytes = True, 200
     node.learn_types(TYPES)
     monkeypatch.setattr(control.store, "get", get)
     monkeypatch.setattr(node.membership, "may_act", lambda now: True)
-    body = {"id": "wk-000001", "workload": "x", "owner": "free", "shape": "sweep", "urgency": "standard", "parts": 3,
-            "vcpus": 1.0, "accelerators": 0.0, "mem_gb": 1.0, "flavours": None, "site": None, "together": False,
-            "apart": False, "standby": True, "bundle": "i", "image_gb": 1.0, "expected_s": 10.0,
-            "snapshot_every_s": 0.0, "snapshot_s": 0.0, "due_s": None}
+    body = {
+        "id": "wk-000001",
+        "workload": "x",
+        "owner": "free",
+        "shape": "sweep",
+        "urgency": "standard",
+        "parts": 3,
+        "vcpus": 1.0,
+        "accelerators": 0.0,
+        "mem_gb": 1.0,
+        "flavours": None,
+        "site": None,
+        "together": False,
+        "apart": False,
+        "standby": True,
+        "bundle": "i",
+        "image_gb": 1.0,
+        "expected_s": 10.0,
+        "snapshot_every_s": 0.0,
+        "snapshot_s": 0.0,
+        "due_s": None,
+    }
     assert curio.run(control.submit, msgspec.json.encode(body))[0] == status
 
 
 # -- entering
 
+
 class Steps:
     """A store whose answers to the steps of entering are lost; what they ask for is carried out now or late."""
 
@@ -696,6 +736,7 @@
             permit = next(self.sim.permits)
             self.sim.holds[permit] = 1e9
             return permit
+
         return self.step("hold", take)
 
     async def commit(self, conditions, puts, drops=(), permit=None):
@@ -732,6 +773,7 @@
 
 # -- all of it, in a world
 
+
 class LateNode(SimNode):
     """For a while a share of its transactions has no answer and is carried out 2 to 12 s later, after newer ones.
 
@@ -766,6 +808,7 @@
             def slowly(action):
                 def later(*answer) -> None:
                     world.after(world.rng.uniform(0.1, 1.8), self.at_work, life, action, *answer)
+
                 return later
 
             return super().call(slowly(then), fail, method, *args, too_large=too_large)
--- a/tests/test_meetings_terms.py
+++ b/tests/test_meetings_terms.py
@@ -59,8 +59,18 @@
     def __init__(self, seed, nodes):
         super().__init__(seed, nodes=nodes, jobs=0)
         for number in range(12):
-            spec = msgspec.structs.replace(self.make_job(number), kind="sweep", team="free", cpus=1.0, tasks=2,
-                                           estimate_s=1000.0, types=None, zone=None, one_zone=False, spread=False)
+            spec = msgspec.structs.replace(
+                self.make_job(number),
+                kind="sweep",
+                team="free",
+                cpus=1.0,
+                tasks=2,
+                estimate_s=1000.0,
+                types=None,
+                zone=None,
+                one_zone=False,
+                spread=False,
+            )
             self.after(self.rng.uniform(1.0, 10.0), self.submit, spec)
 
     def acts(self, label):
@@ -142,6 +152,7 @@
     def stays(self, *args):
         renewed(self, *args)
         self.valid_until = float("inf")
+
     monkeypatch.setattr(Hold, "renewed", stays)
 
 
@@ -151,6 +162,7 @@
     def stays(self, sent_at):
         followed(self, sent_at)
         self.fresh_until = float("inf")
+
     monkeypatch.setattr(Membership, "followed", stays)
 
 
@@ -177,6 +189,7 @@
 
 # -- views carried out late ---------------------------------------------------------
 
+
 class LateViews(Tied):
     """From 30 s on its changes of view have no answer, and are carried out seconds later if what they assert holds."""
 
@@ -286,6 +299,7 @@
 
 # -- time that jumps ------------------------------------------------------------------
 
+
 class Jumping(Tied):
     """It may stand still for seconds at any line: a call, frames or an answer decided before are sent after it."""
 
@@ -375,8 +389,12 @@
     """A home is about to write that a job is cancelled, stands still and is replaced; then all are asked."""
     world = Terms(seed, 5)
     world.run(50.0)
-    job, label = next((job, label) for job in sorted(world.accepted) for label in world.labels
-                      if world.nodes[label].node.home_of(job) == label != world.view.leader)
+    job, label = next(
+        (job, label)
+        for job in sorted(world.accepted)
+        for label in world.labels
+        if world.nodes[label].node.home_of(job) == label != world.view.leader
+    )
     sim = world.nodes[label]
     sim.still_before = JOBS + job
     world.cancelled_at[job] = float("inf")
--- a/tests/test_meetings_unanswered.py
+++ b/tests/test_meetings_unanswered.py
@@ -30,8 +30,12 @@
             if not away(clock[0]):  # the watch is answered at once where the store can be reached
                 control.followed(clock[0] - c.STATE_TIMEOUT_S if slow else clock[0])
             if clock[0] in asked:
-                control.noted(JOB, (503, b"", []) if refuses(clock[0]) or away(clock[0]) else
-                              (200, wire.job_status(JOB, "pending", 0, 0), []))
+                control.noted(
+                    JOB,
+                    (503, b"", [])
+                    if refuses(clock[0]) or away(clock[0])
+                    else (200, wire.job_status(JOB, "pending", 0, 0), []),
+                )
         return [record.args[1] for record in caplog.records]
 
     return play
--- a/tests/test_meetings_upgrade.py
+++ b/tests/test_meetings_upgrade.py
@@ -26,10 +26,14 @@
         rows = super().seen(rows)
         if not self.old:
             return rows
-        return [msgspec.structs.replace(row, data=msgspec.Raw(msgspec.json.encode(
-            msgspec.json.decode(row.data, type=production.View))))
-            if row is not None and VIEW in (getattr(row, "key", None), getattr(row, "put", None)) else row
-            for row in rows]
+        return [
+            msgspec.structs.replace(
+                row, data=msgspec.Raw(msgspec.json.encode(msgspec.json.decode(row.data, type=production.View)))
+            )
+            if row is not None and VIEW in (getattr(row, "key", None), getattr(row, "put", None))
+            else row
+            for row in rows
+        ]
 
 
 class Upgrade(World):
@@ -51,8 +55,11 @@
         self.store.commit = noting
 
     def changed(self, view: View) -> None:
-        kinds = {msgspec.json.decode(self.store.data[MEMBERS + label][0], type=Presence).generation
-                 for label in view.members if MEMBERS + label in self.store.data}
+        kinds = {
+            msgspec.json.decode(self.store.data[MEMBERS + label][0], type=Presence).generation
+            for label in view.members
+            if MEMBERS + label in self.store.data
+        }
         self.mixed += len(kinds) > 1
         self.contacts += view.contact_s > 0
         if len(kinds) > 1 and view.contact_s:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -37,7 +37,7 @@
     data = b"".join(map(wired, sent))
     buffer, got = bytearray(), []
     for at in range(0, len(data), piece):
-        buffer += data[at:at + piece]
+        buffer += data[at : at + piece]
         got += m.split_frames(buffer)
     assert got == sent and not buffer
 
@@ -156,19 +156,23 @@
 
 
 def requests(rng):
-    heads = [b"POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
-             b"POST /v1/jobs HTTP/1.1\r\ncontent-length:%d\r\nHost: x\r\n\r\n",
-             b"POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Length: 0%d \r\n\r\n"]
-    odd = [b"POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n",
-           b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n\r\n",
-           b"POST / HTTP/1.0\r\nHost: x\r\nContent-Length: %d\r\n\r\n",
-           b"POST / HTTP/1.1\nHost: x\nContent-Length: %d\n\n",
-           b"POST / HTTP/1.1\r\nHost: x\r\nX: a\r\n b\r\nContent-Length: %d\r\n\r\n",
-           b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nContent-Length: 7\r\n\r\n",
-           b"HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n",
-           b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -%d\r\n\r\n",
-           b"POST / HTTP/1.1\r\nHost: x\r\nUpgrade: y\r\nContent-Length: %d\r\n\r\n",
-           b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n"]
+    heads = [
+        b"POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
+        b"POST /v1/jobs HTTP/1.1\r\ncontent-length:%d\r\nHost: x\r\n\r\n",
+        b"POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Length: 0%d \r\n\r\n",
+    ]
+    odd = [
+        b"POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n\r\n",
+        b"POST / HTTP/1.0\r\nHost: x\r\nContent-Length: %d\r\n\r\n",
+        b"POST / HTTP/1.1\nHost: x\nContent-Length: %d\n\n",
+        b"POST / HTTP/1.1\r\nHost: x\r\nX: a\r\n b\r\nContent-Length: %d\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nContent-Length: 7\r\n\r\n",
+        b"HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -%d\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: x\r\nUpgrade: y\r\nContent-Length: %d\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n",
+    ]
     for _ in range(rng.randint(1, 12)):
         size = rng.choice((0, 1, 9, 10, 11, 200, 1000, rng.randint(0, 3000)))
         body = bytes(rng.choices(b"ab\r\n", k=size))
@@ -189,7 +193,7 @@
     rng = random.Random(seed)
     parts = list(requests(rng))
     if rng.random() < 0.3:
-        parts[-1] = parts[-1][:rng.randint(0, len(parts[-1]))]
+        parts[-1] = parts[-1][: rng.randint(0, len(parts[-1]))]
     if rng.random() < 0.7:  # split near where they meet, or anywhere
         whole, near = b"".join(parts), rng.random() < 0.5
         ends = [end + rng.randint(-5, 5) for end in itertools.accumulate(map(len, parts))] if near else []
@@ -210,18 +214,23 @@
 def test_an_answer_whose_head_is_known_is_read_as_through_h11(seed, monkeypatch):
     """However it is split, cut short or followed by more; and the connection stays or goes as it would."""
     rng = random.Random(seed)
-    heads = [b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", b"HTTP/1.1 409 X\r\na: b\r\ncontent-length:%d\r\n\r\n",
-             b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", b"HTTP/1.0 200 OK\r\nx: %d\r\n\r\n",
-             b"HTTP/1.1 204 N\r\nContent-Length: %d\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 1%d\r\n\r\n"]
+    heads = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
+        b"HTTP/1.1 409 X\r\na: b\r\ncontent-length:%d\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\nx: %d\r\n\r\n",
+        b"HTTP/1.1 204 N\r\nContent-Length: %d\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1%d\r\n\r\n",
+    ]
     answers = []
     for _ in range(12):
         size = rng.choice((0, 1, 9, 10, 3000, 70_000))
         data = (rng.choice(heads[:2]) if rng.random() < 0.8 else rng.choice(heads)) % size + b"z" * size
         if rng.random() < 0.1:
-            data = data[:rng.randrange(len(data))] if rng.random() < 0.5 else data + b"HTTP"
+            data = data[: rng.randrange(len(data))] if rng.random() < 0.5 else data + b"HTTP"
         pieces, largest = [], rng.choice((1, 30, 100_000)) if size < 100 else 50_000
         while data:
-            pieces.append(data[:(cut := rng.randint(1, largest))])
+            pieces.append(data[: (cut := rng.randint(1, largest))])
             data = data[cut:]
         answers.append(pieces)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,13 +11,27 @@
 
 
 def spec(spot=True, **more):
-    return JobSpec(id="wk-1", job_class="x", team="t", kind="sweep", priority="standard", tasks=9, cpus=2.0,
-                   memory_gb=1.0, image="i", image_gb=1.0, estimate_s=10.0, spot=spot, **more)
+    return JobSpec(
+        id="wk-1",
+        job_class="x",
+        team="t",
+        kind="sweep",
+        priority="standard",
+        tasks=9,
+        cpus=2.0,
+        memory_gb=1.0,
+        image="i",
+        image_gb=1.0,
+        estimate_s=10.0,
+        spot=spot,
+        **more,
+    )
 
 
 def test_room_on_busy_machines_is_what_the_job_may_use():
-    busy = Busy([Candidate("a", "c8", "a", True, (5.0, 9.0, 0.0), {}),
-                 Candidate("b", "c8", "b", False, (8.0, 3.0, 0.0), {})])
+    busy = Busy(
+        [Candidate("a", "c8", "a", True, (5.0, 9.0, 0.0), {}), Candidate("b", "c8", "b", False, (8.0, 3.0, 0.0), {})]
+    )
     assert busy.room(spec()) == 2 + 3
     assert busy.room(spec(spot=False)) == 3
     assert busy.room(spec(zone="a")) == 2
@@ -26,9 +40,12 @@
 
 def brute(machine, rows, fetch_s, elsewhere):
     """The whole queue sorted for this one machine, as each report once did."""
-    queue = sorted(((late, rank, due + fetch_s(offer.spec)), label, number, offer)
-                   for label, offers in rows.items() for number, offer in enumerate(offers)
-                   for late, rank, due in [offer.key])
+    queue = sorted(
+        ((late, rank, due + fetch_s(offer.spec)), label, number, offer)
+        for label, offers in rows.items()
+        for number, offer in enumerate(offers)
+        for late, rank, due in [offer.key]
+    )
     room, wanted = machine.free, []
     for _, label, _, offer in queue:
         if allowed(offer.spec, machine.type, machine.zone, machine.spot):
@@ -48,17 +65,40 @@
     for label in ("host-0", "host-1", "host-2"):
         rows[label] = []
         for number in range(rng.randrange(12)):
-            job = spec(spot=rng.random() < 0.7, types=rng.choice([None, None, ["c16"]]),
-                       zone=rng.choice([None, None, "a", "b"]))
-            job = msgspec.structs.replace(job, id=f"{label}-{number}", cpus=rng.choice([1.0, 2.0, 5.0]),
-                                          priority=rng.choice(PRIORITIES), image=f"i-{rng.randrange(4)}")
-            row = QueueRow(job.id, 9, rng.randrange(1, 6), rng.uniform(-5.0, 30.0), 10.0, rng.choice([None, None, "a"]),
-                           rng.uniform(0.0, 8.0), rng.random() < 0.3, rng.random() < 0.2)
+            job = spec(
+                spot=rng.random() < 0.7,
+                types=rng.choice([None, None, ["c16"]]),
+                zone=rng.choice([None, None, "a", "b"]),
+            )
+            job = msgspec.structs.replace(
+                job,
+                id=f"{label}-{number}",
+                cpus=rng.choice([1.0, 2.0, 5.0]),
+                priority=rng.choice(PRIORITIES),
+                image=f"i-{rng.randrange(4)}",
+            )
+            row = QueueRow(
+                job.id,
+                9,
+                rng.randrange(1, 6),
+                rng.uniform(-5.0, 30.0),
+                10.0,
+                rng.choice([None, None, "a"]),
+                rng.uniform(0.0, 8.0),
+                rng.random() < 0.3,
+                rng.random() < 0.2,
+            )
             rows[label].append(Offer(label, row, job, 100.0, 4.0))
         offers.tell(label, rows[label])
     for _ in range(4):
-        machine = Candidate("a", "c8", rng.choice("ab"), rng.random() < 0.5,
-                            (rng.choice([0.5, 3.0, 8.0, 32.0]), rng.choice([4.0, 64.0]), 0.0), images)
+        machine = Candidate(
+            "a",
+            "c8",
+            rng.choice("ab"),
+            rng.random() < 0.5,
+            (rng.choice([0.5, 3.0, 8.0, 32.0]), rng.choice([4.0, 64.0]), 0.0),
+            images,
+        )
 
         def fetch_s(job):
             return 0.0 if job.image in images else 1.0 + 7.0 * int(job.image[-1])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -21,8 +21,21 @@
 
 
 def spec(name="wk-1", tasks=1, cpus=2.0, estimate_s=100.0, spot=True, **more):
-    return JobSpec(id=name, job_class="x", team="t", kind="sweep", priority="standard", tasks=tasks, cpus=cpus,
-                   memory_gb=1.0, image="i", image_gb=1.0, estimate_s=estimate_s, spot=spot, **more)
+    return JobSpec(
+        id=name,
+        job_class="x",
+        team="t",
+        kind="sweep",
+        priority="standard",
+        tasks=tasks,
+        cpus=cpus,
+        memory_gb=1.0,
+        image="i",
+        image_gb=1.0,
+        estimate_s=estimate_s,
+        spot=spot,
+        **more,
+    )
 
 
 def demand(count, due=50.0, run=100.0, **more):
@@ -71,9 +84,15 @@
 
 def random_case(rng, machines):
     """Tasks of one size, so that a walk over single slots is easy to write plainly."""
-    queue = [Demand(spec(f"wk-{i}", tasks=50, spot=rng.random() < 0.7, zone=rng.choice([None, None, "a", "b"])),
-                    rng.randint(1, 30), rng.uniform(-5.0, 60.0), rng.choice([5.0, 20.0, 60.0]))
-             for i in range(rng.randint(1, 8))]
+    queue = [
+        Demand(
+            spec(f"wk-{i}", tasks=50, spot=rng.random() < 0.7, zone=rng.choice([None, None, "a", "b"])),
+            rng.randint(1, 30),
+            rng.uniform(-5.0, 60.0),
+            rng.choice([5.0, 20.0, 60.0]),
+        )
+        for i in range(rng.randint(1, 8))
+    ]
     queue.sort(key=lambda one: one.due_in_s)
     resources = []
     for _ in range(rng.randint(0, machines)):
@@ -186,8 +205,10 @@
     held, given = dict.fromkeys(homes, 0.0), dict.fromkeys(homes, 0.0)
     used = dict.fromkeys(homes, 0.0)
     for _ in range(500):
-        needs = [policy.Need(rng.choice(homes), rng.uniform(0.0, 80.0), rng.choice([0.0, 1.0, 40.0]), kept)
-                 for kept in rng.choices([False, True], k=rng.randint(0, 4))]
+        needs = [
+            policy.Need(rng.choice(homes), rng.uniform(0.0, 80.0), rng.choice([0.0, 1.0, 40.0]), kept)
+            for kept in rng.choices([False, True], k=rng.randint(0, 4))
+        ]
         shares = policy.divide(100.0, used, held, given, needs)
         assert sum(max(held[h], shares.get(h, 0.0)) for h in homes) <= 100.0 + 1e-6
         given = shares
@@ -208,8 +229,13 @@
     membership = Membership("host-0", 20.0, 12.0)
     known = Replica(membership, Graph(lambda spec: 1.0, []))
     leader = Leader([Team("t", cpus_max=16.0)], ["a"], Tuning(), known, 1.0, 17.0)
-    leader.on_types({"large": MachineType(name="large", cpus=16.0, memory_gb=64.0, price=1.0, spot_price=0.3,
-                                          boot_s=10.0, zones=["a"])})
+    leader.on_types(
+        {
+            "large": MachineType(
+                name="large", cpus=16.0, memory_gb=64.0, price=1.0, spot_price=0.3, boot_s=10.0, zones=["a"]
+            )
+        }
+    )
     leader.enter(["host-0", "host-1"], 0.0)
     leader.listed = True
     first = spec(tasks=6, cpus=4.0, spot=False)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -29,8 +29,12 @@
         return home, None, sent
     job = Job(Record(JobState.ACTIVE, "host-0", 0.0, 9, [], SPEC), 1, 0.0, 0.0, fresh=known is not Known.POSSIBLE)
     home.join(job)
-    runs = {Known.HERE: (HERE, ATTEMPT), Known.OVER_HERE: (HERE, ATTEMPT), Known.OTHER_TRY: (HERE, 6),
-            Known.ELSEWHERE: ("n-2", 9)}
+    runs = {
+        Known.HERE: (HERE, ATTEMPT),
+        Known.OVER_HERE: (HERE, ATTEMPT),
+        Known.OTHER_TRY: (HERE, 6),
+        Known.ELSEWHERE: ("n-2", 9),
+    }
     if known in runs:
         machine, attempt = runs[known]
         job.next = 1
@@ -51,8 +55,12 @@
 
 
 def told_as(told):
-    status, cause = {Told.LIVE: ("running", None), Told.DONE: ("ended", "done"), Told.ERROR: ("ended", "error"),
-                     Told.STOPPED: ("ended", "halted")}.get(told, ("", None))
+    status, cause = {
+        Told.LIVE: ("running", None),
+        Told.DONE: ("ended", "done"),
+        Told.ERROR: ("ended", "error"),
+        Told.STOPPED: ("ended", "halted"),
+    }.get(told, ("", None))
     tasks = [SeenTask(SPEC.id, 0, ATTEMPT, status, cause)] if status else []
     return Seen(HERE, "a", 9, tasks, [(SPEC.id, 0, ATTEMPT)] if told is Told.HELD else [])
 
@@ -67,10 +75,13 @@
     home.on_seen("host-1", told_as(told), 2.0)
     what = TABLE[known][told]
     assert [body for body in sent if isinstance(body, Clear)] == (
-        [Clear(HERE, SPEC.id, 0, ATTEMPT)] if what in (Verdict.CLEAR, Verdict.FREE_CLEAR, Verdict.FAIL_CLEAR) else [])
+        [Clear(HERE, SPEC.id, 0, ATTEMPT)] if what in (Verdict.CLEAR, Verdict.FREE_CLEAR, Verdict.FAIL_CLEAR) else []
+    )
     assert [body for body in sent if isinstance(body, Halt)] == (
         [Halt(HERE, SPEC.id, 0, ATTEMPT, 0.0)]
-        if what in (Verdict.HALT, Verdict.ADOPT_HALT, Verdict.PROGRESS_HALT) else [])
+        if what in (Verdict.HALT, Verdict.ADOPT_HALT, Verdict.PROGRESS_HALT)
+        else []
+    )
     if job is None:
         return
     run = job.runs.get(0)
@@ -103,6 +114,7 @@
 
 # -- who waits for whom --------------------------------------------------------
 
+
 def test_a_task_waits_only_for_machines_that_its_job_may_use():
     """Ordinary-only work does not wait for a spot machine that died, nor for another type or zone."""
     spot, other = MachineRecord("x", "c4", "a", True), MachineRecord("y", "c8", "a")
@@ -189,6 +201,7 @@
 
 # -- pace ------------------------------------------------------------------------
 
+
 def test_who_does_not_answer_is_asked_again_a_few_times_with_jitter_and_then_left_alone():
     asking, asked, now = Asking(Random(1)), [], 10.0
     asking.enter(["n-1", "n-2", "n-3"], now)
@@ -224,6 +237,7 @@
 
 def test_controllers_that_return_together_make_one_view():
     """Three views in half a second voided each other's acknowledgements."""
+
     def joined(times):
         membership = Membership("host-0", 20.0)
         membership.hold.renewed(1, 0.0)
@@ -238,6 +252,7 @@
                 views.append(now)
                 membership.saw_view(change[0], 100 + len(views))
         return views, membership.view
+
     views, view = joined([0.0, 0.2, 0.4, 0.6, 0.8])
     assert len(views) <= 2 and len(view.members) == 5
     views, view = joined([0.0, 3.0])
@@ -263,6 +278,7 @@
 
 # -- views that change while machines fall -----------------------------------------
 
+
 def first_run(world):
     """A task that runs on a machine of another controller's part than its home, and the three involved."""
     for label, sim in world.nodes.items():
@@ -301,8 +317,13 @@
     world.nodes[third].crash()
     world.after(1.0, world.restart, world.nodes[third])
     world.run(world.t + 12.0)
-    stuck = [run for sim in world.nodes.values() for other in sim.node.home.jobs.values()
-             for run in other.runs.values() if run.machine == machine]
+    stuck = [
+        run
+        for sim in world.nodes.values()
+        for other in sim.node.home.jobs.values()
+        for run in other.runs.values()
+        if run.machine == machine
+    ]
     assert not stuck
     world.run(600.0)  # a team at its limit takes a while
     assert not lacking(world)
@@ -337,6 +358,7 @@
 
 # -- random runs: all controllers fall, and much of the fleet with them --------------
 
+
 @pytest.mark.parametrize("seed", range(9000, 9005))
 def test_every_job_ends_though_all_controllers_fall_twice(seed):
     """The second time within a minute or so of the first, some controllers twice each: no job may hang."""
@@ -365,12 +387,17 @@
         rows = [list(row) for row in TABLE]
         rows[known][told] = what
         monkeypatch.setattr(recovery.table, "TABLE", tuple(map(tuple, rows)))
+
     return patch
 
 
-@pytest.mark.parametrize("fault, rule", [
-    (cell(Known.POSSIBLE, Told.LIVE, Verdict.STRIKE), "ran_twice"),  # what still runs is started again
-    (cell(Known.POSSIBLE, Told.LIVE, Verdict.ADOPT_HALT), "halted")])
+@pytest.mark.parametrize(
+    "fault, rule",
+    [
+        (cell(Known.POSSIBLE, Told.LIVE, Verdict.STRIKE), "ran_twice"),  # what still runs is started again
+        (cell(Known.POSSIBLE, Told.LIVE, Verdict.ADOPT_HALT), "halted"),
+    ],
+)
 def test_each_guard_is_seen_to_fail_when_it_is_broken(monkeypatch, fault, rule):
     fault(monkeypatch)
     for seed in range(9301, 9340):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -16,9 +16,25 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent
-JOB = {"id": "wk-000001", "workload": "w", "owner": "t", "shape": "sweep", "urgency": "high", "parts": 2,
-       "vcpus": 1.0, "accelerators": 0.0, "mem_gb": 1.0, "bundle": "i", "image_gb": 1.0, "together": False,
-       "apart": False, "standby": False, "expected_s": 5.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0}
+JOB = {
+    "id": "wk-000001",
+    "workload": "w",
+    "owner": "t",
+    "shape": "sweep",
+    "urgency": "high",
+    "parts": 2,
+    "vcpus": 1.0,
+    "accelerators": 0.0,
+    "mem_gb": 1.0,
+    "bundle": "i",
+    "image_gb": 1.0,
+    "together": False,
+    "apart": False,
+    "standby": False,
+    "expected_s": 5.0,
+    "snapshot_every_s": 0.0,
+    "snapshot_s": 0.0,
+}
 
 
 class Stand(BaseHTTPRequestHandler):
@@ -64,8 +80,11 @@
                     return self.reply(200, {"epoch": state["epoch"], "log": log})
             with lock:
                 if url.path == "/kv":
-                    rows = [{"k": k, "data": v, "stamp": s} for k, (v, s, _) in sorted(state["data"].items())
-                            if k > query.get("from", "")]
+                    rows = [
+                        {"k": k, "data": v, "stamp": s}
+                        for k, (v, s, _) in sorted(state["data"].items())
+                        if k > query.get("from", "")
+                    ]
                     return self.reply(200, {"rows": rows, "has_next": False, "epoch": state["epoch"]})
                 found = state["data"].get(url.path[4:])
             if found is None:
@@ -110,8 +129,18 @@
     def do_GET(self):
         self.body()
         if self.path == "/flavors":
-            kind = {"name": "c4", "vcpus": 4, "accelerators": 0, "mem_gb": 16, "local_gb": 10, "pull_gb_per_s": 1.0,
-                    "rate": 1.0, "spot_price": 0.3, "ready_s": 10, "sites": ["a"]}
+            kind = {
+                "name": "c4",
+                "vcpus": 4,
+                "accelerators": 0,
+                "mem_gb": 16,
+                "local_gb": 10,
+                "pull_gb_per_s": 1.0,
+                "rate": 1.0,
+                "spot_price": 0.3,
+                "ready_s": 10,
+                "sites": ["a"],
+            }
             return self.reply(200, {"flavours": [kind]})
         return self.reply(200, {"hosts": [], "has_next": False})
 
@@ -134,13 +163,24 @@
 
 
 def settings(port, store, cloud):
-    shared = {"zones": ["a"], "teams": [{"name": "t"}, {"name": "small", "cpus_max": 1.0}],
-              "workers": {"report_s": 3.0, "lease_s": 20.0, "cancel_s": 45.0},
-              "state": {"rps": 500.0, "write_rps": 200.0, "value_kb": 4.0, "txn_ops": 12},
-              "cloud": {"rps": 5.0, "list_lag_s": 5.0}, "limits": {"cpu": 1.0, "memory_mb": 200.0, "max_sockets": 50}}
-    return {"label": "host-0", "location": "a", "listen": f"127.0.0.1:{port}",
-            "mesh_addr": f"127.0.0.1:{free_port()}", "peers": [], "endpoints": {"cloud": cloud, "state": store},
-            "settings": shared, "unknown": 1}
+    shared = {
+        "zones": ["a"],
+        "teams": [{"name": "t"}, {"name": "small", "cpus_max": 1.0}],
+        "workers": {"report_s": 3.0, "lease_s": 20.0, "cancel_s": 45.0},
+        "state": {"rps": 500.0, "write_rps": 200.0, "value_kb": 4.0, "txn_ops": 12},
+        "cloud": {"rps": 5.0, "list_lag_s": 5.0},
+        "limits": {"cpu": 1.0, "memory_mb": 200.0, "max_sockets": 50},
+    }
+    return {
+        "label": "host-0",
+        "location": "a",
+        "listen": f"127.0.0.1:{port}",
+        "mesh_addr": f"127.0.0.1:{free_port()}",
+        "peers": [],
+        "endpoints": {"cloud": cloud, "state": store},
+        "settings": shared,
+        "unknown": 1,
+    }
 
 
 class Service:
@@ -149,8 +189,9 @@
         self.start()
 
     def start(self):
-        self.process = subprocess.Popen([sys.executable, "run.py", "--config", str(self.path)], cwd=ROOT,
-                                        stderr=subprocess.DEVNULL)
+        self.process = subprocess.Popen(
+            [sys.executable, "run.py", "--config", str(self.path)], cwd=ROOT, stderr=subprocess.DEVNULL
+        )
         for _ in range(400):
             with contextlib.suppress(OSError, http.client.HTTPException):
                 if self.call("GET", "/healthz")[0] == 200:
@@ -198,8 +239,12 @@
     service.submit_until(JOB, 201)
     assert "ab/j/wk-000001" in state["data"]
     assert service.call("POST", "/v1/jobs", JOB)[0] == 200
-    assert service.call("GET", "/v1/jobs/wk-000001")[1] == {"id": "wk-000001", "status": "pending", "done": 0,
-                                                            "running": 0}
+    assert service.call("GET", "/v1/jobs/wk-000001")[1] == {
+        "id": "wk-000001",
+        "status": "pending",
+        "done": 0,
+        "running": 0,
+    }
     assert service.call("POST", "/v1/jobs/wk-000001/withdraw")[1]["status"] == "aborted"
     assert state["data"]["ab/j/wk-000001"][0]["state"] == "aborted"
     service.stop()
@@ -208,20 +253,31 @@
     assert service.call("POST", "/v1/jobs", JOB)[1]["status"] == "aborted"
 
 
-@pytest.mark.parametrize("method, path, body, status", [
-    ("POST", "/v1/jobs", b"{", 400), ("POST", "/v1/jobs", b"[]", 400), ("POST", "/v1/jobs", b"\xff\xfe", 400),
-    ("POST", "/v1/jobs", b"[" * 60000, 400),
-    ("POST", "/v1/jobs", {**JOB, "id": "x"}, 400), ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "parts": 0}, 400),
-    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "vcpus": -1.0}, 400),
-    ("POST", "/v1/jobs", {**JOB, "id": None}, 400),
-    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "parts": 10**30}, 400), ("POST", "/v1/jobs", b"x" * 70000, 413),
-    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "owner": "nobody"}, 422),
-    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "vcpus": 64.0}, 422),
-    ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "owner": "small", "vcpus": 2.0}, 422),
-    ("GET", "/v1/jobs/wk-777777", None, 404), ("GET", "/v1/jobs/%00", None, 404), ("GET", "/nowhere", None, 404),
-    ("POST", "/v1/jobs/wk-777777/withdraw", None, 404), ("DELETE", "/v1/jobs", None, 405),
-    ("POST", "/agent/beat", b"{}", 400), ("GET", "/agent/beat", None, 405),
-])
+@pytest.mark.parametrize(
+    "method, path, body, status",
+    [
+        ("POST", "/v1/jobs", b"{", 400),
+        ("POST", "/v1/jobs", b"[]", 400),
+        ("POST", "/v1/jobs", b"\xff\xfe", 400),
+        ("POST", "/v1/jobs", b"[" * 60000, 400),
+        ("POST", "/v1/jobs", {**JOB, "id": "x"}, 400),
+        ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "parts": 0}, 400),
+        ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "vcpus": -1.0}, 400),
+        ("POST", "/v1/jobs", {**JOB, "id": None}, 400),
+        ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "parts": 10**30}, 400),
+        ("POST", "/v1/jobs", b"x" * 70000, 413),
+        ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "owner": "nobody"}, 422),
+        ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "vcpus": 64.0}, 422),
+        ("POST", "/v1/jobs", {**JOB, "id": "wk-000009", "owner": "small", "vcpus": 2.0}, 422),
+        ("GET", "/v1/jobs/wk-777777", None, 404),
+        ("GET", "/v1/jobs/%00", None, 404),
+        ("GET", "/nowhere", None, 404),
+        ("POST", "/v1/jobs/wk-777777/withdraw", None, 404),
+        ("DELETE", "/v1/jobs", None, 405),
+        ("POST", "/agent/beat", b"{}", 400),
+        ("GET", "/agent/beat", None, 405),
+    ],
+)
 def test_what_cannot_be_taken_is_answered(world, method, path, body, status):
     service, _ = world
     service.submit_until({**JOB, "id": "wk-000009", "owner": "nobody"}, 422)  # the machine types are known
@@ -231,16 +287,27 @@
 def test_a_worker_gets_the_mandate_first_and_orders_after(world):
     service, state = world
     service.submit_until({**JOB, "id": "wk-000002"}, 201)
-    beat = {"host": "n-1", "address": "x", "flavour": "c4", "site": "a", "standby": False, "tenure": 1,
-            "counter": 1, "mandate": 0, "recall_s": None, "parts": []}
+    beat = {
+        "host": "n-1",
+        "address": "x",
+        "flavour": "c4",
+        "site": "a",
+        "standby": False,
+        "tenure": 1,
+        "counter": 1,
+        "mandate": 0,
+        "recall_s": None,
+        "parts": [],
+    }
     status, answer, _ = service.call("POST", "/agent/beat", beat)
     assert status == 200 and answer["orders"] == [] and answer["mandate"] > 0
     assert service.call("POST", "/agent/beat", beat)[0] == 503  # not newer than the last
     ahead = {**beat, "counter": 2, "mandate": answer["mandate"] + 1}
     assert service.call("POST", "/agent/beat", ahead)[0] == 503  # a 200 would be dropped, and hold the worker here
     for counter in range(2, 60):
-        orders = service.call("POST", "/agent/beat", {**beat, "counter": counter,
-                                                      "mandate": answer["mandate"]})[1]["orders"]
+        orders = service.call("POST", "/agent/beat", {**beat, "counter": counter, "mandate": answer["mandate"]})[1][
+            "orders"
+        ]
         if orders:
             break
         time.sleep(0.05)
@@ -303,37 +370,62 @@
             sock.close()
 
 
-@pytest.mark.parametrize("change, told", [
-    ({"listen": "nowhere"}, "listen: expected HOST:PORT"), ({"label": 5}, "$.label"),
-])
+@pytest.mark.parametrize(
+    "change, told",
+    [
+        ({"listen": "nowhere"}, "listen: expected HOST:PORT"),
+        ({"label": 5}, "$.label"),
+    ],
+)
 def test_a_bad_settings_file_is_one_line_and_exit_2(tmp_path, change, told):
     path = tmp_path / "s.json"
     path.write_text(json.dumps({**settings(1, "a:1", "b:2"), **change}))
-    done = subprocess.run([sys.executable, "run.py", "--check", "--config", str(path)], cwd=ROOT, text=True,
-                          capture_output=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "run.py", "--check", "--config", str(path)],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        check=False,
+    )
     assert done.returncode == 2 and told in done.stderr and done.stderr.count("\n") == 1
 
 
 def test_limits_that_will_come_are_checked_and_shown(tmp_path):
     path, value = tmp_path / "s.json", settings(1, "a:1", "b:2")
-    for coming, code, told in (({"value_kb": 2.0}, 0, "value_kb 2, txn_ops 12"),
-                               ({"txn_ops": 0}, 2, "state.next.txn_ops")):
+    for coming, code, told in (
+        ({"value_kb": 2.0}, 0, "value_kb 2, txn_ops 12"),
+        ({"txn_ops": 0}, 2, "state.next.txn_ops"),
+    ):
         value["settings"]["state"]["next"] = coming
         path.write_text(json.dumps(value))
-        done = subprocess.run([sys.executable, "run.py", "--check", "--config", str(path)], cwd=ROOT, text=True,
-                              capture_output=True, check=False)
+        done = subprocess.run(
+            [sys.executable, "run.py", "--check", "--config", str(path)],
+            cwd=ROOT,
+            text=True,
+            capture_output=True,
+            check=False,
+        )
         assert done.returncode == code and told in done.stdout + done.stderr
 
 
-@pytest.mark.parametrize("text, told", [
-    ("[policy]\nbid = 1\n", "[policy] bid: no such setting"),
-    ("[policy]\nbid_share = much\n", "bid_share: expected a number from 0.0 to 10.0"),
-    ("bid_share\n", "not an INI file"), ("[policy]\nbid_share = 0.7\n", None),
-])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ("[policy]\nbid = 1\n", "[policy] bid: no such setting"),
+        ("[policy]\nbid_share = much\n", "bid_share: expected a number from 0.0 to 10.0"),
+        ("bid_share\n", "not an INI file"),
+        ("[policy]\nbid_share = 0.7\n", None),
+    ],
+)
 def test_operators_settings_are_checked(tmp_path, text, told):
     path, ini = tmp_path / "s.json", tmp_path / "a.ini"
     path.write_text(json.dumps(settings(1, "a:1", "b:2")))
     ini.write_text(text)
-    done = subprocess.run([sys.executable, "run.py", "--check", "--config", str(path), "--settings", str(ini)],
-                          cwd=ROOT, text=True, capture_output=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "run.py", "--check", "--config", str(path), "--settings", str(ini)],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        check=False,
+    )
     assert done.returncode == (2 if told else 0) and (told or "") in done.stderr
--- a/tests/test_service_cut.py
+++ b/tests/test_service_cut.py
@@ -142,11 +142,27 @@
                 service.completed.add(part)
                 task |= {"status": "ended", "cause": "done"}
         self.counter += 1
-        parts = [{"part": part, "try": task["try"], "status": task["status"], "cause": task["cause"]}
-                 for part, task in self.tasks.items()]
-        status, answer = service.call(self.label, "POST", "/agent/beat", {
-            "host": self.name_, "address": "x", "flavour": "c4", "site": "a", "standby": False,
-            "tenure": self.tenure, "counter": self.counter, "mandate": self.mandate, "recall_s": None, "parts": parts})
+        parts = [
+            {"part": part, "try": task["try"], "status": task["status"], "cause": task["cause"]}
+            for part, task in self.tasks.items()
+        ]
+        status, answer = service.call(
+            self.label,
+            "POST",
+            "/agent/beat",
+            {
+                "host": self.name_,
+                "address": "x",
+                "flavour": "c4",
+                "site": "a",
+                "standby": False,
+                "tenure": self.tenure,
+                "counter": self.counter,
+                "mandate": self.mandate,
+                "recall_s": None,
+                "parts": parts,
+            },
+        )
         if status == 421 and answer["steward"] in LABELS:
             self.label = answer["steward"]
         elif status != 200:
@@ -183,15 +199,20 @@
         mesh = {label: f"127.0.0.1:{free_port()}" for label in LABELS}
         self.processes = []
         for label, server in zip(LABELS, self.servers, strict=True):
-            value = settings(self.ports[label], f"127.0.0.1:{server.server_address[1]}",
-                             f"127.0.0.1:{self.cloud.server_address[1]}")
-            value |= {"label": label, "mesh_addr": mesh[label], "peers": [
-                {"label": other, "location": "a", "addr": mesh[other]} for other in LABELS if other != label]}
+            value = settings(
+                self.ports[label], f"127.0.0.1:{server.server_address[1]}", f"127.0.0.1:{self.cloud.server_address[1]}"
+            )
+            value |= {
+                "label": label,
+                "mesh_addr": mesh[label],
+                "peers": [{"label": other, "location": "a", "addr": mesh[other]} for other in LABELS if other != label],
+            }
             value["settings"]["workers"] = {"report_s": 0.5, "lease_s": LEASE_S, "cancel_s": CANCEL_S}
             file = path / f"{label}.json"
             file.write_text(json.dumps(value))
-            self.processes.append(subprocess.Popen([sys.executable, *code, "--config", str(file)], cwd=ROOT,
-                                                   stderr=subprocess.DEVNULL))
+            self.processes.append(
+                subprocess.Popen([sys.executable, *code, "--config", str(file)], cwd=ROOT, stderr=subprocess.DEVNULL)
+            )
 
     def stop(self):
         self.over = True
@@ -325,8 +346,9 @@
             return len(answers) == len(asked)
 
         service.until(answered, AFTER_S, "all is answered")
-        service.until(lambda: all(job in service.said for job in jobs if int(job[3:]) not in LONG), AFTER_S,
-                      "short jobs end")
+        service.until(
+            lambda: all(job in service.said for job in jobs if int(job[3:]) not in LONG), AFTER_S, "short jobs end"
+        )
         service.until(lambda: len(service.said) >= len(jobs) - len(LONG) + 4, AFTER_S, "cancellations are told")
         return service
     finally:
--- a/tests/test_service_tool.py
+++ b/tests/test_service_tool.py
@@ -37,26 +37,42 @@
 
 def cancelled(at, begun, cause="its first task runs"):
     job, begins = "job=wk-000099 state=", f"begun cause={cause}"
-    return (f"  50.0 host-0 INFO node {job}accepted class=soon team=t tasks=1 cpus=1",
-            f"  {at} host-0 INFO jobs {job}aborted cause=withdrawn", f"  {begun} host-1 INFO jobs {job}{begins}")
-
-
-@pytest.mark.parametrize("more, shape, code, told", [
-    ((), {}, 0, "largest of soon: 2 jobs of 80 CPUs or more, done 1.000"),
-    ((), {"large_done": False}, 1, "done 0.000, begun after 5 s in the middle, 5 s at most, 0 too late FAILED"),
-    ((), {"begun": 250.0}, 1, "2 too late FAILED"),
-    ((silent("host-0", 80.0),), {}, 0, "1 jobs unanswered for a time at some controller, 80 s at most; 0 forgotten"),
-    ((silent("host-0", 80.0), silent("host-1", 76.0)), {}, 1, "1 forgotten FAILED"),
-    ((accepted("class=soon team=t tasks=1 cpus=8"),), {}, 0, "21 accepted, 0 that can't run or lack a field\n"),
-    ((accepted("class=soon team=t tasks=0 cpus=8"),), {}, 1, "1 that can't run or lack a field (wk-000099: 0 tasks)"),
-    ((accepted("class=soon team=t tasks=100001 cpus=8"),), {}, 1, "(wk-000099: 100001 tasks) FAILED"),
-    ((accepted("class=soon team=t tasks=1 cpus=nan"),), {}, 1, "(wk-000099: nan CPUs) FAILED"),
-    ((accepted("class=soon team= cpus=8"),), {}, 1, "(wk-000099: lacks team, tasks) FAILED"),
-    (cancelled(60.0, 101.0), {}, 0, "1 jobs, 1 begun after that, 41.0 s at most, 0 beyond 42 s\n"),
-    (cancelled(60.0, 103.0), {}, 1, "1 jobs, 1 begun after that, 43.0 s at most, 1 beyond 42 s FAILED"),
-    (cancelled(60.0, 103.0, "a task of it runs already"), {}, 0, "1 jobs, 0 begun after that, 0.0 s at most"),
-    (cancelled(60.0, 59.0), {}, 0, "1 jobs, 0 begun after that, 0.0 s at most, 0 beyond 42 s\n"),
-])
+    return (
+        f"  50.0 host-0 INFO node {job}accepted class=soon team=t tasks=1 cpus=1",
+        f"  {at} host-0 INFO jobs {job}aborted cause=withdrawn",
+        f"  {begun} host-1 INFO jobs {job}{begins}",
+    )
+
+
+@pytest.mark.parametrize(
+    "more, shape, code, told",
+    [
+        ((), {}, 0, "largest of soon: 2 jobs of 80 CPUs or more, done 1.000"),
+        ((), {"large_done": False}, 1, "done 0.000, begun after 5 s in the middle, 5 s at most, 0 too late FAILED"),
+        ((), {"begun": 250.0}, 1, "2 too late FAILED"),
+        (
+            (silent("host-0", 80.0),),
+            {},
+            0,
+            "1 jobs unanswered for a time at some controller, 80 s at most; 0 forgotten",
+        ),
+        ((silent("host-0", 80.0), silent("host-1", 76.0)), {}, 1, "1 forgotten FAILED"),
+        ((accepted("class=soon team=t tasks=1 cpus=8"),), {}, 0, "21 accepted, 0 that can't run or lack a field\n"),
+        (
+            (accepted("class=soon team=t tasks=0 cpus=8"),),
+            {},
+            1,
+            "1 that can't run or lack a field (wk-000099: 0 tasks)",
+        ),
+        ((accepted("class=soon team=t tasks=100001 cpus=8"),), {}, 1, "(wk-000099: 100001 tasks) FAILED"),
+        ((accepted("class=soon team=t tasks=1 cpus=nan"),), {}, 1, "(wk-000099: nan CPUs) FAILED"),
+        ((accepted("class=soon team= cpus=8"),), {}, 1, "(wk-000099: lacks team, tasks) FAILED"),
+        (cancelled(60.0, 101.0), {}, 0, "1 jobs, 1 begun after that, 41.0 s at most, 0 beyond 42 s\n"),
+        (cancelled(60.0, 103.0), {}, 1, "1 jobs, 1 begun after that, 43.0 s at most, 1 beyond 42 s FAILED"),
+        (cancelled(60.0, 103.0, "a task of it runs already"), {}, 0, "1 jobs, 0 begun after that, 0.0 s at most"),
+        (cancelled(60.0, 59.0), {}, 0, "1 jobs, 0 begun after that, 0.0 s at most, 0 beyond 42 s\n"),
+    ],
+)
 def test_a_day_is_judged_by_its_largest_jobs_and_its_questions(tmp_path, capsys, more, shape, code, told):
     calm = day(tmp_path / "calm.log")
     assert service.main([calm, day(tmp_path / "day.log", *more, **shape)]) == code
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,15 +14,32 @@
 from alderbridge.view import Membership, Presence, View
 from alderbridge.wire import Change, JobSpec
 
-SPEC = JobSpec(id="wk-000002", job_class="x", team="t", kind="sweep", priority="high", tasks=2, cpus=1.0, memory_gb=1.0,
-               image="i", image_gb=1.0, estimate_s=5.0, needs=["wk-000001"])
+SPEC = JobSpec(
+    id="wk-000002",
+    job_class="x",
+    team="t",
+    kind="sweep",
+    priority="high",
+    tasks=2,
+    cpus=1.0,
+    memory_gb=1.0,
+    image="i",
+    image_gb=1.0,
+    estimate_s=5.0,
+    needs=["wk-000001"],
+)
 
 
 def test_records_frames_and_views_of_the_old_version_are_read():
     for raw in production.RECORDS:
         old, new = msgspec.json.decode(raw, type=production.Record), msgspec.json.decode(raw, type=Record)
-        assert (new.state.value, new.home, new.at, new.mark, new.done) == (old.state, old.home, old.at, old.mark,
-                                                                          old.done)
+        assert (new.state.value, new.home, new.at, new.mark, new.done) == (
+            old.state,
+            old.home,
+            old.at,
+            old.mark,
+            old.done,
+        )
         assert msgspec.json.encode(new) == raw  # and written again as they were
         assert (new.spec is None) == (old.spec is None)
     assert msgspec.json.decode(production.VIEW, type=View).members == {"host-0": 3, "host-1": 7}
@@ -39,8 +56,14 @@
 def test_what_this_version_writes_is_read_by_the_old_one():
     record = Record(JobState.ACTIVE, "host-2", 9.0, 5, [(0, 2)], SPEC, "abc/2", 7.0)
     old = msgspec.json.decode(msgspec.json.encode(record), type=production.Record)
-    assert (old.state, old.home, old.at, old.mark, old.done, old.spec.id) == ("active", "host-2", 9.0, 5, [(0, 2)],
-                                                                             "wk-000002")
+    assert (old.state, old.home, old.at, old.mark, old.done, old.spec.id) == (
+        "active",
+        "host-2",
+        9.0,
+        5,
+        [(0, 2)],
+        "wk-000002",
+    )
     done = msgspec.json.encode(Record(JobState.DONE, done_at=12.5))
     assert production.value(JOBS + "wk-1", done) == b'{"state":"done"}'
     assert msgspec.json.decode(msgspec.json.encode(Presence(7, c.PIPELINES)), type=production.Presence).permit == 7
@@ -52,8 +75,14 @@
 
 def test_no_new_key_is_taken_for_one_that_the_old_version_reads():
     """It takes what begins with its own prefixes for a job, a machine or a member, and passes over the rest."""
-    for key in (f"{LISTS}wk-000002/abc/0", f"{DECLARED}hours", f"{DECLARED}hours/abc-1/0", f"{CLAIMS}n-1",
-                f"{STOPS}wk-000002", BUDGETS):
+    for key in (
+        f"{LISTS}wk-000002/abc/0",
+        f"{DECLARED}hours",
+        f"{DECLARED}hours/abc-1/0",
+        f"{CLAIMS}n-1",
+        f"{STOPS}wk-000002",
+        BUDGETS,
+    ):
         assert not any(key.startswith(prefix) for prefix in ("ab/j/", "ab/n/", "ab/m/", "ab/view", "ab/types"))
 
 
@@ -84,8 +113,9 @@
     assert State(100.0, 20.0, 4.0, 12).kept == State(100.0, 20.0, 4.0, 12)
 
 
-@pytest.mark.parametrize("text, error", [(b'{"error":"the value is too large"}', TooLarge),
-                                         (b'{"error":"no such lease"}', HoldLost)])
+@pytest.mark.parametrize(
+    "text, error", [(b'{"error":"the value is too large"}', TooLarge), (b'{"error":"no such lease"}', HoldLost)]
+)
 def test_a_value_that_is_too_large_is_not_a_lost_hold(text, error):
     store = Store("127.0.0.1:1")
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -80,8 +80,9 @@
     for need in needs[:-1]:
         record = Record(JobState.DONE)
         world.store.commit({}, {JOBS + need: record})
-    tail = msgspec.structs.replace(world.make_job(99), id=needs[-1], kind="sweep", tasks=1, types=None, zone=None,
-                                   one_zone=False, spread=False)
+    tail = msgspec.structs.replace(
+        world.make_job(99), id=needs[-1], kind="sweep", tasks=1, types=None, zone=None, one_zone=False, spread=False
+    )
     after = msgspec.structs.replace(tail, id="wk-777", needs=needs)
     world.specs |= {tail.id: tail, after.id: after}
     world.specs |= {need: msgspec.structs.replace(tail, id=need, tasks=0) for need in needs[:-1]}
@@ -192,9 +193,15 @@
 
 
 def told_before_stored(monkeypatch):
-    monkeypatch.setattr(Node, "state_here", lambda self, job, now: (
-        (self.home.jobs[job].state.value, 0, 0) if job in self.home.jobs and self.home.jobs[job].done.count
-        else ("pending", 0, 0)))
+    monkeypatch.setattr(
+        Node,
+        "state_here",
+        lambda self, job, now: (
+            (self.home.jobs[job].state.value, 0, 0)
+            if job in self.home.jobs and self.home.jobs[job].done.count
+            else ("pending", 0, 0)
+        ),
+    )
 
 
 def done_too_early(monkeypatch):
@@ -258,12 +265,24 @@
     monkeypatch.setattr(Home, "on_seen", on_seen)
 
 
-@pytest.mark.parametrize("fault, rule", [
-    (uncounted_grants, "books"), (free_room_not_forgotten, "books"), (machines_not_indexed, "books"),
-    (no_barrier, "ran_twice"), (absence_without_proof, "ran_twice"), (lease_cut_short, "ran_twice"),
-    (no_allowance, "quota"), (anywhere, "wrong_place"), (told_before_stored, "went_back"),
-    (done_too_early, "not_done"), (never_halted, "ran_cancelled"), (nobody_waits, "too_early"),
-    (nobody_is_doomed, "orphaned")])
+@pytest.mark.parametrize(
+    "fault, rule",
+    [
+        (uncounted_grants, "books"),
+        (free_room_not_forgotten, "books"),
+        (machines_not_indexed, "books"),
+        (no_barrier, "ran_twice"),
+        (absence_without_proof, "ran_twice"),
+        (lease_cut_short, "ran_twice"),
+        (no_allowance, "quota"),
+        (anywhere, "wrong_place"),
+        (told_before_stored, "went_back"),
+        (done_too_early, "not_done"),
+        (never_halted, "ran_cancelled"),
+        (nobody_waits, "too_early"),
+        (nobody_is_doomed, "orphaned"),
+    ],
+)
 def test_each_rule_is_seen_to_fail_when_the_code_is_broken(monkeypatch, fault, rule):
     fault(monkeypatch)
     for seed in range(200):
--- a/tests/world.py
+++ b/tests/world.py
@@ -59,36 +59,116 @@
 NOT_FOUND = "404"  # told to a user, or 400 or 422, in place of a state
 ZONES = ["a", "b"]
 TYPES = {
-    "small": wire.MachineType(name="small", cpus=4.0, memory_gb=16.0, price=0.3, spot_price=0.1, boot_s=8.0,
-                              cache_gb=10.0, zones=ZONES),
-    "large": wire.MachineType(name="large", cpus=16.0, memory_gb=64.0, price=1.1, spot_price=0.4, boot_s=10.0,
-                              cache_gb=20.0, zones=ZONES),
+    "small": wire.MachineType(
+        name="small", cpus=4.0, memory_gb=16.0, price=0.3, spot_price=0.1, boot_s=8.0, cache_gb=10.0, zones=ZONES
+    ),
+    "large": wire.MachineType(
+        name="large", cpus=16.0, memory_gb=64.0, price=1.1, spot_price=0.4, boot_s=10.0, cache_gb=20.0, zones=ZONES
+    ),
 }
-TROUBLES = ["crash", "crash", "crash_all", "flap", "cut", "cut_store", "cut_workers", "cut_mesh", "outage", "die",
-            "hang", "cut_machine", "faulty", "recall", "deaf", "late_reports", "late_writes", "cut_alone", "refused",
-            "held_up"]
+TROUBLES = [
+    "crash",
+    "crash",
+    "crash_all",
+    "flap",
+    "cut",
+    "cut_store",
+    "cut_workers",
+    "cut_mesh",
+    "outage",
+    "die",
+    "hang",
+    "cut_machine",
+    "faulty",
+    "recall",
+    "deaf",
+    "late_reports",
+    "late_writes",
+    "cut_alone",
+    "refused",
+    "held_up",
+]
 # A meeting has one of the first at least; see ``World.meeting``.
-MEETING = ["deaf", "late_reports", "late_writes", "cut_alone", "refused", "held_up", "slow_store", "mute", "looks",
-           "lost_answers", "reports_kept", "cancel_now", "cancel_at_end", "odd_requests", "quick_boots", "zone_away",
-           "limits", "stream", "ten_leaders"]
+MEETING = [
+    "deaf",
+    "late_reports",
+    "late_writes",
+    "cut_alone",
+    "refused",
+    "held_up",
+    "slow_store",
+    "mute",
+    "looks",
+    "lost_answers",
+    "reports_kept",
+    "cancel_now",
+    "cancel_at_end",
+    "odd_requests",
+    "quick_boots",
+    "zone_away",
+    "limits",
+    "stream",
+    "ten_leaders",
+]
 MEETING_OLD = ["crash", "crash_all", "one_returns", "flap", "end_leaders", "hang", "cut_machine"]
 ON_MACHINES = ("deaf", "held_up", "hang", "cut_machine", "mute")
 STREAM_S, STREAM_CANCELLED = 0.25, 0.25  # s between one-task jobs; the share of them that users cancel
 LEADERS, LEADERS_S = 10, 120.0
 # What a submission says though a record leaves it out where it has its default.
-GIVEN = {"accelerators": 0.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0, "together": False, "apart": False,
-         "standby": False}
+GIVEN = {
+    "accelerators": 0.0,
+    "snapshot_every_s": 0.0,
+    "snapshot_s": 0.0,
+    "together": False,
+    "apart": False,
+    "standby": False,
+}
 # What is put in a submission's place of a field, None: left out. No field: all of these.
-FLAWS = [(name, None) for name in ("id", "workload", "owner", "shape", "urgency", "parts", "vcpus", "mem_gb", "bundle",
-                                   "image_gb", "expected_s", *GIVEN)]
-FLAWS += [("parts", 0), ("parts", 100_001), ("parts", 1.5), ("parts", True), ("vcpus", math.nan), ("vcpus", -1.0),
-          ("vcpus", 0.0), ("vcpus", "2"), ("mem_gb", -1.0), ("mem_gb", 65.0), ("owner", "nobody"), ("site", "z"),
-          ("shape", "round"), ("urgency", 1), ("flavours", ["none"]), ("flavours", "small"), ("accelerators", 1.0),
-          ("id", "job-1"), ("", {"flavours": ["small"], "vcpus": 8.0}),
-          ("", {"shape": "standing", "parts": 9, "vcpus": 2.0, "owner": "bound"})]
+FLAWS = [
+    (name, None)
+    for name in (
+        "id",
+        "workload",
+        "owner",
+        "shape",
+        "urgency",
+        "parts",
+        "vcpus",
+        "mem_gb",
+        "bundle",
+        "image_gb",
+        "expected_s",
+        *GIVEN,
+    )
+]
+FLAWS += [
+    ("parts", 0),
+    ("parts", 100_001),
+    ("parts", 1.5),
+    ("parts", True),
+    ("vcpus", math.nan),
+    ("vcpus", -1.0),
+    ("vcpus", 0.0),
+    ("vcpus", "2"),
+    ("mem_gb", -1.0),
+    ("mem_gb", 65.0),
+    ("owner", "nobody"),
+    ("site", "z"),
+    ("shape", "round"),
+    ("urgency", 1),
+    ("flavours", ["none"]),
+    ("flavours", "small"),
+    ("accelerators", 1.0),
+    ("id", "job-1"),
+    ("", {"flavours": ["small"], "vcpus": 8.0}),
+    ("", {"shape": "standing", "parts": 9, "vcpus": 2.0, "owner": "bound"}),
+]
 TEAMS = [Team("free"), Team("bound", cpus=8.0, cpus_max=16.0)]
-OBJECTIVES = [Objective("wait", "soon", within_s=6.0), Objective("deadline", "last", times=1.0),
-              Objective("deadline", "last", times=1.5)]
+OBJECTIVES = [
+    Objective("wait", "soon", within_s=6.0),
+    Objective("deadline", "last", times=1.0),
+    Objective("deadline", "last", times=1.5),
+]
 
 
 class Broken(AssertionError):
@@ -97,8 +177,15 @@
 
 def platform(label: str, labels: list[str], coming: NextState | None = None) -> Platform:
     peers = [Peer(other, "a", "127.0.0.1:1") for other in labels if other != label]
-    shared = Shared(ZONES, TEAMS, Workers(REPORT_S, LEASE_S, CANCEL_S), State(100.0, 60.0, 4.0, 12, coming),
-                    CloudSettings(6.0, 4.0), Limits(0.75, 186.0, 1000), OBJECTIVES)
+    shared = Shared(
+        ZONES,
+        TEAMS,
+        Workers(REPORT_S, LEASE_S, CANCEL_S),
+        State(100.0, 60.0, 4.0, 12, coming),
+        CloudSettings(6.0, 4.0),
+        Limits(0.75, 186.0, 1000),
+        OBJECTIVES,
+    )
     return Platform(label, "a", "127.0.0.1:1", "127.0.0.1:2", peers, Endpoints("127.0.0.1:3", "127.0.0.1:4"), shared)
 
 
@@ -157,7 +244,7 @@
     def elections(self, changed: bool) -> None:
         """How long a view that does not fit is waited for; ``changed``: a new one has begun."""
         view = msgspec.json.decode(self.data[VIEW][0], type=View) if VIEW in self.data else View("", {})
-        present = {key[len(MEMBERS):]: value[2] for key, value in self.data.items() if key.startswith(MEMBERS)}
+        present = {key[len(MEMBERS) :]: value[2] for key, value in self.data.items() if key.startswith(MEMBERS)}
         if self.differs_since is not None:
             self.longest_change = max(self.longest_change, self.world.t - self.differs_since)
         if present == view.members:
@@ -189,7 +276,7 @@
             self.view_began()
         for key, value in puts.items():
             if key.startswith(JOBS) and getattr(value, "state", JobState.ACTIVE) is not JobState.ACTIVE:
-                self.ended(key[len(JOBS):])
+                self.ended(key[len(JOBS) :])
         return wire.Committed(self.epoch)
 
     def rows(self) -> list[wire.Row]:
@@ -222,8 +309,12 @@
     def start(self) -> None:
         self.life += 1
         world, life = self.world, self.life
-        self.node = Node(platform(self.label, world.labels, None if self.old else world.coming), Tuning(), world.t,
-                         own={} if self.old else world.files(self.label))
+        self.node = Node(
+            platform(self.label, world.labels, None if self.old else world.coming),
+            Tuning(),
+            world.t,
+            own={} if self.old else world.files(self.label),
+        )
         self.node.types = self.node.part.types = TYPES
         self.node.leader.on_types(TYPES)
         world.prepare(self.node)
@@ -236,8 +327,14 @@
             other.dead_links.discard(self.label)
         self.rents = 0
         self.renting = False
-        for step, pause in ((self.hold, 1.5), (self.follow, 0.15), (self.view, c.ROUND_S), (self.write, 0.05),
-                            (self.round, c.ROUND_S), (self.lead, c.LEADER_ROUND_S)):
+        for step, pause in (
+            (self.hold, 1.5),
+            (self.follow, 0.15),
+            (self.view, c.ROUND_S),
+            (self.write, 0.05),
+            (self.round, c.ROUND_S),
+            (self.lead, c.LEADER_ROUND_S),
+        ):
             world.after(world.rng.random() * 0.2, self.loop, life, step, pause)
 
     def crash(self) -> None:
@@ -344,8 +441,15 @@
 
         def got(permit: int) -> None:
             presence = Presence(permit, 1 if self.old else c.GENERATION)
-            self.call(lambda answer: entered(permit, answer), failed, store.commit,
-                      {key: before.stamp if before else 0}, {key: presence}, (), permit)
+            self.call(
+                lambda answer: entered(permit, answer),
+                failed,
+                store.commit,
+                {key: before.stamp if before else 0},
+                {key: presence},
+                (),
+                permit,
+            )
 
         def entered(permit: int, answer: wire.Committed) -> None:
             self.entering = False
@@ -396,9 +500,14 @@
         """Rows or changes as this version reads them."""
         if not self.old:
             return rows
-        return [row if isinstance(row, wire.Change) and row.put is None else msgspec.structs.replace(
-            row, data=msgspec.Raw(production.value(getattr(row, "key", None) or row.put, bytes(row.data))))
-            for row in rows]
+        return [
+            row
+            if isinstance(row, wire.Change) and row.put is None
+            else msgspec.structs.replace(
+                row, data=msgspec.Raw(production.value(getattr(row, "key", None) or row.put, bytes(row.data)))
+            )
+            for row in rows
+        ]
 
     def view(self) -> None:
         change = self.node.next_view(self.world.t)
@@ -424,8 +533,9 @@
                 node.batch_failed(batch, world.t)
                 if VIEW not in answer.failed:
                     for key in answer.failed:
-                        self.call(lambda row, key=key: node.reread(batch, key, row[0], world.t), lambda: None,
-                                  self.read, key)
+                        self.call(
+                            lambda row, key=key: node.reread(batch, key, row[0], world.t), lambda: None, self.read, key
+                        )
             else:
                 node.batch_done(batch, answer.epoch, world.t)
             self.tell_users()
@@ -444,8 +554,10 @@
 
         puts = batch.puts
         if self.old:
-            puts = {key: msgspec.json.decode(production.value(key, msgspec.json.encode(value)))
-                    for key, value in puts.items()}
+            puts = {
+                key: msgspec.json.decode(production.value(key, msgspec.json.encode(value)))
+                for key, value in puts.items()
+            }
         self.call(done, failed, world.store.commit, batch.conditions, puts, batch.drops, too_large=too_large)
 
     def read(self, key: str):
@@ -485,8 +597,10 @@
 
             cut = world.t < self.cut_workers_until
             if not cut or world.rng.random() < 0.5:
-                world.after(world.rng.uniform(1.0, 30.0) if cut or world.rng.random() < 0.1
-                            else world.rng.uniform(0.001, 0.3), arrive)
+                world.after(
+                    world.rng.uniform(1.0, 30.0) if cut or world.rng.random() < 0.1 else world.rng.uniform(0.001, 0.3),
+                    arrive,
+                )
 
     def lead(self) -> None:
         node, world = self.node, self.world
@@ -806,11 +920,20 @@
 
     def report(self) -> bytes:
         world = self.world
-        beat = {"host": self.name, "address": "x", "flavour": self.kind.type, "site": self.kind.zone,
-                "standby": self.kind.spot, "tenure": self.tenure, "counter": self.counter, "mandate": self.mandate,
-                "recall_s": None if self.recall_at is None else max(0.0, self.recall_at - world.t),
-                "parts": [{"part": p, "try": k.attempt, "status": k.status, "cause": k.cause}
-                          for p, k in self.tasks.items()]}
+        beat = {
+            "host": self.name,
+            "address": "x",
+            "flavour": self.kind.type,
+            "site": self.kind.zone,
+            "standby": self.kind.spot,
+            "tenure": self.tenure,
+            "counter": self.counter,
+            "mandate": self.mandate,
+            "recall_s": None if self.recall_at is None else max(0.0, self.recall_at - world.t),
+            "parts": [
+                {"part": p, "try": k.attempt, "status": k.status, "cause": k.cause} for p, k in self.tasks.items()
+            ],
+        }
         return json.dumps(beat).encode()
 
     def command(self, mandate: int, tenure: int, reply) -> None:
@@ -893,10 +1016,23 @@
 class World:
     process = SimNode
 
-    def __init__(self, seed: int, jobs: int = 14, trouble: bool = True, nodes: int = 3, pipelines: int = 0,
-                 upgrade: bool = False, coming: NextState | None = None, tight_at: float = math.inf,
-                 groups: bool = False, falls: int = 0, machines: int = 14, rush: bool = False,
-                 slow: bool = False, meetings: int = 0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        jobs: int = 14,
+        trouble: bool = True,
+        nodes: int = 3,
+        pipelines: int = 0,
+        upgrade: bool = False,
+        coming: NextState | None = None,
+        tight_at: float = math.inf,
+        groups: bool = False,
+        falls: int = 0,
+        machines: int = 14,
+        rush: bool = False,
+        slow: bool = False,
+        meetings: int = 0,
+    ) -> None:
         """``falls``: how often all controllers fall together, and much of the fleet with them; see ``fall``.
 
         ``machines``: that the cloud has at most. ``rush``: jobs of many tasks that want them all at once.
@@ -1003,20 +1139,44 @@
         rng = self.rng
         array = rng.random() < 0.9
         return wire.JobSpec(
-            id=f"wk-{rng.randrange(10**6):06d}{number:02d}", job_class="x", team=rng.choice(["free", "bound"]),
-            kind="sweep" if array else "standing", priority=rng.choice(wire.PRIORITIES),
-            tasks=rng.randint(1, 14) if array else 2, cpus=rng.choice([1.0, 2.0, 4.0]), memory_gb=2.0,
-            image=rng.choice("pqr"), image_gb=1.0, estimate_s=rng.uniform(2.0, 20.0) if array else 0.0,
-            types=rng.choice([None, None, ["large"]]), zone=rng.choice([None, None, "a"]),
-            one_zone=rng.random() < 0.15, spread=rng.random() < 0.15, spot=rng.random() < 0.7)
+            id=f"wk-{rng.randrange(10**6):06d}{number:02d}",
+            job_class="x",
+            team=rng.choice(["free", "bound"]),
+            kind="sweep" if array else "standing",
+            priority=rng.choice(wire.PRIORITIES),
+            tasks=rng.randint(1, 14) if array else 2,
+            cpus=rng.choice([1.0, 2.0, 4.0]),
+            memory_gb=2.0,
+            image=rng.choice("pqr"),
+            image_gb=1.0,
+            estimate_s=rng.uniform(2.0, 20.0) if array else 0.0,
+            types=rng.choice([None, None, ["large"]]),
+            zone=rng.choice([None, None, "a"]),
+            one_zone=rng.random() < 0.15,
+            spread=rng.random() < 0.15,
+            spot=rng.random() < 0.7,
+        )
 
     def make_rush(self, number: int) -> wire.JobSpec:
-        return msgspec.structs.replace(self.make_job(number), kind="sweep", job_class="soon", team="free", spot=True,
-                                       tasks=self.rng.randint(30, 90), estimate_s=self.rng.uniform(10.0, 30.0))
+        return msgspec.structs.replace(
+            self.make_job(number),
+            kind="sweep",
+            job_class="soon",
+            team="free",
+            spot=True,
+            tasks=self.rng.randint(30, 90),
+            estimate_s=self.rng.uniform(10.0, 30.0),
+        )
 
     def make_long(self, number: int) -> wire.JobSpec:
-        return msgspec.structs.replace(self.make_job(number), kind="sweep", job_class="long", estimate_s=60.0,
-                                       tasks=self.rng.randint(2, 3), spot=True)
+        return msgspec.structs.replace(
+            self.make_job(number),
+            kind="sweep",
+            job_class="long",
+            estimate_s=60.0,
+            tasks=self.rng.randint(2, 3),
+            spot=True,
+        )
 
     def pipeline(self, number: int) -> None:
         """Steps as users send them, each as soon as those that it needs are accepted; some hang on an earlier job."""
@@ -1026,9 +1186,19 @@
             return
 
         def step(index: int, needs: list[str], **more) -> str:
-            spec = msgspec.structs.replace(self.make_job(number + index), kind="sweep", tasks=rng.randint(1, 5),
-                                           cpus=1.0, estimate_s=rng.uniform(1.0, 6.0), types=None, zone=None,
-                                           one_zone=False, spread=False, needs=needs or None, **more)
+            spec = msgspec.structs.replace(
+                self.make_job(number + index),
+                kind="sweep",
+                tasks=rng.randint(1, 5),
+                cpus=1.0,
+                estimate_s=rng.uniform(1.0, 6.0),
+                types=None,
+                zone=None,
+                one_zone=False,
+                spread=False,
+                needs=needs or None,
+                **more,
+            )
             self.specs[spec.id] = spec
             self.when_accepted(needs, spec)
             return spec.id
@@ -1129,8 +1299,10 @@
             self.said[job] = state
             if job in self.cancelled_at:  # whoever says so first, a question's answer included
                 self.cancelled_at[job] = min(self.cancelled_at[job], self.t)
-        elif any((self.t if asked is None else asked) > self.cancelled_at.get(one, math.inf) + CANCEL_S
-                 for one in self.before(job)):
+        elif any(
+            (self.t if asked is None else asked) > self.cancelled_at.get(one, math.inf) + CANCEL_S
+            for one in self.before(job)
+        ):
             raise Broken(f"orphaned: {job} is called {state}")
 
     def poll(self, job: str) -> None:
@@ -1172,8 +1344,13 @@
         asks_end = rng.random() < (0.5 if job in self.said else 0.1)
         for label in self.labels:
             for _ in range(rng.randint(1, 3)):
-                self.after(rng.uniform(0.0001, rng.choice([0.004, 0.04, 0.4])), self.look, self.nodes[label], job,
-                           rng.choice(["ask", "ask", "repeat", "other body", "withdraw" if asks_end else "ask"]))
+                self.after(
+                    rng.uniform(0.0001, rng.choice([0.004, 0.04, 0.4])),
+                    self.look,
+                    self.nodes[label],
+                    job,
+                    rng.choice(["ask", "ask", "repeat", "other body", "withdraw" if asks_end else "ask"]),
+                )
 
     def look(self, sim: SimNode, job: str, kind: str) -> None:
         self.looks += 1
@@ -1216,9 +1393,14 @@
         if state is not None:
             return state[0]
         home = self.nodes.get(sim.node.home_of(job))
-        if (home is not None and home is not sim and home.node is not None and home.label not in sim.dead_links
-                and home.node.membership.mandate == sim.node.membership.mandate
-                and self.t >= max(sim.cut_mesh_until, home.cut_mesh_until)):
+        if (
+            home is not None
+            and home is not sim
+            and home.node is not None
+            and home.label not in sim.dead_links
+            and home.node.membership.mandate == sim.node.membership.mandate
+            and self.t >= max(sim.cut_mesh_until, home.cut_mesh_until)
+        ):
             state = home.node.state_here(job, self.t)
             if state is not None:
                 return state[0]
@@ -1265,8 +1447,12 @@
             sim.withdraw(job, lambda state: state and told(job, state))
         elif home:
             number = next(self.ask_numbers)
-            self.asking[number] = (sim.label, sim.life, self.t + c.SUBMIT_WAIT_S,
-                                   lambda state: state and told(job, state))
+            self.asking[number] = (
+                sim.label,
+                sim.life,
+                self.t + c.SUBMIT_WAIT_S,
+                lambda state: state and told(job, state),
+            )
             node.tell(home, m.Ask(number, "withdraw", job))
             sim.flush()
         else:
@@ -1288,8 +1474,11 @@
         spec = self.specs[job]
         if part in self.on:
             raise Broken(f"ran_twice: {part} on {self.on[part]} and {worker.name} at {self.t:.2f}")
-        zones = [self.machines[name].kind.zone for p, name in self.on.items()
-                 if wire.split_task(p)[0] == job and self.machines.get(name)]
+        zones = [
+            self.machines[name].kind.zone
+            for p, name in self.on.items()
+            if wire.split_task(p)[0] == job and self.machines.get(name)
+        ]
         zones.append(worker.kind.zone)
         if not self.may_use(spec, worker.kind, zones):
             raise Broken(f"wrong_place: {part} on {worker.name}")
@@ -1303,8 +1492,11 @@
             self.starts_after.append((part, self.t - self.cancelled_at[job]))
         self.began.setdefault(job, self.t)
         for team in TEAMS:
-            used = sum(self.specs[wire.split_task(p)[0]].cpus for p in self.on
-                       if self.specs[wire.split_task(p)[0]].team == team.name)
+            used = sum(
+                self.specs[wire.split_task(p)[0]].cpus
+                for p in self.on
+                if self.specs[wire.split_task(p)[0]].team == team.name
+            )
             if team.cpus_max and used > team.cpus_max + 1e-9:
                 raise Broken(f"quota: {team.name} uses {used}")
         if self.t > self.cancelled_at.get(job, math.inf) + CANCEL_S:
@@ -1313,9 +1505,13 @@
     @staticmethod
     def may_use(spec: wire.JobSpec, kind, zones: list[str]) -> bool:
         """``zones``: of the job's tasks, with this one's."""
-        return ((not spec.types or kind.type in spec.types) and spec.zone in (None, kind.zone)
-                and (spec.spot or not kind.spot) and not (spec.one_zone and len(set(zones)) > 1)
-                and not (spec.spread and zones.count(kind.zone) > math.ceil(spec.tasks / 2)))
+        return (
+            (not spec.types or kind.type in spec.types)
+            and spec.zone in (None, kind.zone)
+            and (spec.spot or not kind.spot)
+            and not (spec.one_zone and len(set(zones)) > 1)
+            and not (spec.spread and zones.count(kind.zone) > math.ceil(spec.tasks / 2))
+        )
 
     def look_for_room(self) -> None:
         """Who waits beside room that fits, by what is on the machines: ``ROOM_S`` at most, troubles over."""
@@ -1338,8 +1534,12 @@
                     cpus, memory = cpus - spec.cpus, memory - spec.memory_gb
                     used[spec.team] = used.get(spec.team, 0.0) + spec.cpus
                     zones.setdefault(job, []).append(worker.kind.zone)
-            if worker.recall_at is None and not worker.faulty and self.t >= max(
-                    worker.hangs_until, worker.cut_until, worker.deaf_until, worker.mute_until, worker.held_up_until):
+            if (
+                worker.recall_at is None
+                and not worker.faulty
+                and self.t
+                >= max(worker.hangs_until, worker.cut_until, worker.deaf_until, worker.mute_until, worker.held_up_until)
+            ):
                 free.append((worker, cpus, memory))
         limits = {team.name: team.cpus_max or math.inf for team in TEAMS}
         for job in sorted(self.accepted):
@@ -1350,9 +1550,11 @@
                 continue
             under = used.get(spec.team, 0.0) + spec.cpus <= limits[spec.team] + 1e-9
             if not under or not any(
-                    cpus >= spec.cpus and memory >= spec.memory_gb
-                    and self.may_use(spec, worker.kind, [*zones.get(job, ()), worker.kind.zone])
-                    for worker, cpus, memory in free):
+                cpus >= spec.cpus
+                and memory >= spec.memory_gb
+                and self.may_use(spec, worker.kind, [*zones.get(job, ()), worker.kind.zone])
+                for worker, cpus, memory in free
+            ):
                 self.waits.pop(job, None)
                 continue
             waited = self.t - self.waits.setdefault(job, self.t)
@@ -1406,8 +1608,12 @@
         if not node.may_act():
             return
         for name, (record, _) in node.replica.active.items():
-            if (record.state is JobState.ACTIVE and name not in node.home.jobs and name not in node.submissions
-                    and node.membership.home_of(record.home) == node.me):
+            if (
+                record.state is JobState.ACTIVE
+                and name not in node.home.jobs
+                and name not in node.submissions
+                and node.membership.home_of(record.home) == node.me
+            ):
                 raise Broken(f"unserved: {name} by {node.me}, its home, at {self.t:.2f}")
 
     def remembered(self) -> None:
@@ -1419,8 +1625,11 @@
 
     def late_largest(self) -> list[str]:
         """Of each class the largest tenth by CPUs: those that had not begun within the time that users allow."""
-        return [job for job in self.largest()
-                if min(self.began.get(job, math.inf), self.t) > self.first_asked[job] + BEGIN_S]
+        return [
+            job
+            for job in self.largest()
+            if min(self.began.get(job, math.inf), self.t) > self.first_asked[job] + BEGIN_S
+        ]
 
     def largest_not_begun(self) -> list[str]:
         return [job for job in self.largest() if job not in self.began]
@@ -1433,7 +1642,7 @@
         result = []
         for specs in classes.values():
             specs.sort(key=lambda spec: (-spec.tasks * spec.cpus, spec.id))
-            result += [spec.id for spec in specs[:math.ceil(len(specs) / 10)]]
+            result += [spec.id for spec in specs[: math.ceil(len(specs) / 10)]]
         return result
 
     @staticmethod
@@ -1501,8 +1710,18 @@
             self.kinds.pop(name, None)
 
     def listing(self) -> list[wire.Listed]:
-        now = [wire.Listed(name, kind.type, "running" if self.machines[name] else "booting", self.t - at - 4.0,
-                           kind.zone, kind.spot) for name, (kind, at) in self.kinds.items() if self.t - at > 4.0]
+        now = [
+            wire.Listed(
+                name,
+                kind.type,
+                "running" if self.machines[name] else "booting",
+                self.t - at - 4.0,
+                kind.zone,
+                kind.spot,
+            )
+            for name, (kind, at) in self.kinds.items()
+            if self.t - at > 4.0
+        ]
         self.lagging.append(now)
         return self.lagging.popleft() if len(self.lagging) > 4 else []
 
@@ -1601,8 +1820,11 @@
         rng = self.rng
         sim.refused_until, sim.follow_hangs = self.t + for_s, True
         if rng.random() < 0.6:
-            self.after(rng.uniform(0.0, min(for_s, 20.0)), self.store.outage,
-                       CANCEL_S + rng.uniform(1.0, 10.0) if rng.random() < 0.5 else rng.uniform(2.0, 25.0))
+            self.after(
+                rng.uniform(0.0, min(for_s, 20.0)),
+                self.store.outage,
+                CANCEL_S + rng.uniform(1.0, 10.0) if rng.random() < 0.5 else rng.uniform(2.0, 25.0),
+            )
 
     def meeting(self, at: float) -> None:
         """Two troubles or three that overlap, and users who cancel a moment before them and while they last."""
@@ -1651,8 +1873,14 @@
         self.zone_away = (zone, sim.label, self.t + for_s)
         sim.cut_store_until = sim.cut_mesh_until = self.t + for_s
         for _ in range(rng.randint(2, 4)):
-            spec = msgspec.structs.replace(self.make_long(next(self.numbers)), types=None, spread=False,
-                                           zone=rng.choice([None, zone]), one_zone=True, tasks=rng.randint(2, 6))
+            spec = msgspec.structs.replace(
+                self.make_long(next(self.numbers)),
+                types=None,
+                spread=False,
+                zone=rng.choice([None, zone]),
+                one_zone=True,
+                tasks=rng.randint(2, 6),
+            )
             self.after(rng.uniform(0.0, for_s), self.submit, spec)
 
     def view_began(self) -> None:
@@ -1668,9 +1896,14 @@
 
     def task_done(self, part: str) -> None:
         job = wire.split_task(part)[0]
-        if (self.t < self.at_end_until and self.rng.random() < self.at_end_share and job in self.accepted
-                and job not in self.said and job not in self.cancelled_at
-                and all(f"{job}/{i}" in self.completed for i in range(self.specs[job].tasks))):
+        if (
+            self.t < self.at_end_until
+            and self.rng.random() < self.at_end_share
+            and job in self.accepted
+            and job not in self.said
+            and job not in self.cancelled_at
+            and all(f"{job}/{i}" in self.completed for i in range(self.specs[job].tasks))
+        ):
             self.after(self.rng.choice([0.0, 0.5, 4.0]) * self.rng.random(), self.withdraw, job)
 
     def cancel_now(self, count: int, hang_s: float) -> None:
@@ -1689,16 +1922,34 @@
         """More of the limited team's work than its limit, long tasks; some of it is cancelled while that lasts."""
         rng = self.rng
         for _ in range(6):
-            spec = msgspec.structs.replace(self.make_long(next(self.numbers)), team="bound", tasks=rng.randint(2, 4),
-                                           cpus=rng.choice([1.0, 2.0]), types=None, zone=None, one_zone=False)
+            spec = msgspec.structs.replace(
+                self.make_long(next(self.numbers)),
+                team="bound",
+                tasks=rng.randint(2, 4),
+                cpus=rng.choice([1.0, 2.0]),
+                types=None,
+                zone=None,
+                one_zone=False,
+            )
             self.after(rng.uniform(0.0, 3.0), self.submit, spec)
             if rng.random() < 0.5:
                 self.after(rng.uniform(15.0, length), self.withdraw_accepted, spec.id)
 
     def send_one(self) -> None:
-        spec = msgspec.structs.replace(self.make_job(next(self.numbers)), kind="sweep", job_class="stream", tasks=1,
-                                       cpus=1.0, team="free", estimate_s=self.rng.uniform(1.0, 6.0), types=None,
-                                       zone=None, one_zone=False, spread=False, spot=True)
+        spec = msgspec.structs.replace(
+            self.make_job(next(self.numbers)),
+            kind="sweep",
+            job_class="stream",
+            tasks=1,
+            cpus=1.0,
+            team="free",
+            estimate_s=self.rng.uniform(1.0, 6.0),
+            types=None,
+            zone=None,
+            one_zone=False,
+            spread=False,
+            spot=True,
+        )
         self.submit(spec)
         if self.rng.random() < STREAM_CANCELLED:
             self.after(self.rng.uniform(0.0, 8.0), self.withdraw_accepted, spec.id)
@@ -1771,8 +2022,15 @@
         rng = self.rng
         if self.slow:
             return rng.uniform(1.0, 60.0) if rng.random() < 0.1 else rng.uniform(1.0, 8.0)
-        return rng.choice([rng.uniform(0.1, 0.5), rng.uniform(0.1, 0.5), rng.uniform(0.5, 6.0), rng.uniform(1.0, 8.0),
-                           0.1 + 59.9 * rng.random() ** 3])
+        return rng.choice(
+            [
+                rng.uniform(0.1, 0.5),
+                rng.uniform(0.1, 0.5),
+                rng.uniform(0.5, 6.0),
+                rng.uniform(1.0, 8.0),
+                0.1 + 59.9 * rng.random() ** 3,
+            ]
+        )
 
     def end(self, sim: SimNode, back_s: float | None = None) -> None:
         sim.crash()
@@ -1796,8 +2054,9 @@
     def end_leaders(self, times: int, pause: float) -> None:
         """Whoever leads, by what the store says."""
         if VIEW in self.store.data:
-            self.end(self.nodes[msgspec.json.decode(self.store.data[VIEW][0], type=View).leader],
-                     self.rng.uniform(0.1, 0.6))
+            self.end(
+                self.nodes[msgspec.json.decode(self.store.data[VIEW][0], type=View).leader], self.rng.uniform(0.1, 0.6)
+            )
         if times > 1:
             self.after(pause, self.end_leaders, times - 1, pause)
 
@@ -1826,9 +2085,11 @@
         world.run(more.until)
         world.remembered()
         open_jobs = sum(job not in world.said for job in world.accepted)
-        print(f"seed {seed}: {world.starts} starts, {len(world.accepted)} jobs accepted, {open_jobs} not ended, "
-              f"{len(world.late_largest())} of the largest begun late, longest wait for a view "
-              f"{world.store.longest_change:.1f} s, {time.process_time() - began:.0f} s of processor time")
+        print(
+            f"seed {seed}: {world.starts} starts, {len(world.accepted)} jobs accepted, {open_jobs} not ended, "
+            f"{len(world.late_largest())} of the largest begun late, longest wait for a view "
+            f"{world.store.longest_change:.1f} s, {time.process_time() - began:.0f} s of processor time"
+        )
     return 0
 
 
--- a/tools/bench_fall.py
+++ b/tools/bench_fall.py
@@ -125,8 +125,14 @@
         for label, node in self.nodes.items():
             if node is None or not node.membership.leads(self.now):
                 continue
-            node.leader.on_listing([wire.Listed(w.name, base.KIND.name, "running", self.now, w.zone, w.spot)
-                                    for w in self.workers if not w.gone], self.now)
+            node.leader.on_listing(
+                [
+                    wire.Listed(w.name, base.KIND.name, "running", self.now, w.zone, w.spot)
+                    for w in self.workers
+                    if not w.gone
+                ],
+                self.now,
+            )
             decision = self.clock("renting", node.leader.decide, self.now)
             node.drain(decision.drain, self.now)
             for kind, count in decision.rent:
@@ -260,7 +266,6 @@
                 worker.tasks[part] = [order["try"], "running", self.now + self.run_s(part)]
         self.at(self.now + (0.5 if newer or orders else 3.0 * self.rng.uniform(0.9, 1.1)), self.report, worker)
 
-
     def run_s(self, part: str) -> float:
         return random.Random(part).uniform(10.0, 40.0)
 
@@ -285,8 +290,14 @@
     while bench.now < UNTIL:
         bench.play(bench.now + 0.25 if bench.events[0][0] <= bench.now + 0.25 else bench.events[0][0])
         for share in (0.5, 0.9):
-            known = sum(part in bench.ended or (part in bench.ran and bench.ran[part].answered_at >= back)
-                        for part in bench.before) if bench.now > back and share not in going else 0
+            known = (
+                sum(
+                    part in bench.ended or (part in bench.ran and bench.ran[part].answered_at >= back)
+                    for part in bench.before
+                )
+                if bench.now > back and share not in going
+                else 0
+            )
             if known and known >= share * before:
                 going[share] = bench.now - back
         if spent is None and bench.now >= back:
@@ -294,15 +305,24 @@
         if spent is not None and "cpu" not in going and bench.now >= back + 30.0:
             going["cpu"] = time.process_time() - spent
     first = next((at for at in bench.starts_at if at > back), float("nan"))
-    peaks = {verb: max((n for second, n in counts.items() if second >= FALL_AT), default=0)
-             for verb, counts in bench.orders.items()}
-    return {"running at the fall": before, "first start, s": round(first - back, 1),
-            "half of it going, s": round(going.get(0.5, float("nan")), 1),
-            "nine tenths, s": round(going.get(0.9, float("nan")), 1),
-            "run orders, busiest second": peaks.get("run", 0), "halt orders, busiest second": peaks.get("halt", 0),
-            "clear orders, busiest second": peaks.get("clear", 0), "tasks lost to leases": bench.lost,
-            "started again while running": bench.again, "machines rented after": bench.rented - rented,
-            "starts": sum(at > FALL_AT for at in bench.starts_at), "cpu of 30 s, s": round(going.get("cpu", 0.0), 1)}
+    peaks = {
+        verb: max((n for second, n in counts.items() if second >= FALL_AT), default=0)
+        for verb, counts in bench.orders.items()
+    }
+    return {
+        "running at the fall": before,
+        "first start, s": round(first - back, 1),
+        "half of it going, s": round(going.get(0.5, float("nan")), 1),
+        "nine tenths, s": round(going.get(0.9, float("nan")), 1),
+        "run orders, busiest second": peaks.get("run", 0),
+        "halt orders, busiest second": peaks.get("halt", 0),
+        "clear orders, busiest second": peaks.get("clear", 0),
+        "tasks lost to leases": bench.lost,
+        "started again while running": bench.again,
+        "machines rented after": bench.rented - rented,
+        "starts": sum(at > FALL_AT for at in bench.starts_at),
+        "cpu of 30 s, s": round(going.get("cpu", 0.0), 1),
+    }
 
 
 def main() -> int:
--- a/tools/bench_lending.py
+++ b/tools/bench_lending.py
@@ -30,8 +30,17 @@
 from alderbridge.wire import JobSpec, MachineType  # noqa: E402
 
 ZONES, GPUS, REPORT_S, QUIET_S = ["a", "b", "c"], 8, 3.0, 120.0
-TYPE = MachineType(name="g8", cpus=96.0, memory_gb=768.0, gpus=8.0, price=12.0, boot_s=45.0, cache_gb=200.0,
-                   fetch_gb_per_s=1.0, zones=ZONES)
+TYPE = MachineType(
+    name="g8",
+    cpus=96.0,
+    memory_gb=768.0,
+    gpus=8.0,
+    price=12.0,
+    boot_s=45.0,
+    cache_gb=200.0,
+    fetch_gb_per_s=1.0,
+    zones=ZONES,
+)
 
 
 def spec(name: str, **more) -> JobSpec:
@@ -58,8 +67,19 @@
         text = Text([Serve("maps", "llm")], [Lend("*", "tune", 20.0, 3, 1e9)], {}, most, most, args.keep)
         self.lender, self.reserve = Lender([text], self.teams, {"g8": TYPE}), Reserve()
         self.models = {name: self.model(name, 1000) for name in ("wk-1", "wk-2")}
-        self.tune = spec("wk-9", job_class="tune", team="vision", kind="sweep", priority="standard", tasks=100_000,
-                         image="tune", image_gb=6.0, estimate_s=1800.0, checkpoint_s=30.0, save_s=5.0)
+        self.tune = spec(
+            "wk-9",
+            job_class="tune",
+            team="vision",
+            kind="sweep",
+            priority="standard",
+            tasks=100_000,
+            image="tune",
+            image_gb=6.0,
+            estimate_s=1800.0,
+            checkpoint_s=30.0,
+            save_s=5.0,
+        )
         self.asked: dict[str, list[float]] = {name: [] for name in self.models}  # since when each replica waits
         self.claimed: dict[str, Counter[str]] = {name: Counter() for name in self.kinds}  # machine -> job, until used
         self.back: list[tuple[float, int]] = []  # work left, times stopped: of tuning tasks that were stopped
@@ -70,8 +90,18 @@
 
     @staticmethod
     def model(name: str, tasks: int) -> JobSpec:
-        return spec(name, job_class="llm", team="maps", kind="standing", priority="production", tasks=tasks, image=name,
-                    image_gb=20.0, estimate_s=0.0, spread=True)
+        return spec(
+            name,
+            job_class="llm",
+            team="maps",
+            kind="standing",
+            priority="production",
+            tasks=tasks,
+            image=name,
+            image_gb=20.0,
+            estimate_s=0.0,
+            spread=True,
+        )
 
     def free(self, name: str) -> int:
         return GPUS - len(self.on[name])
@@ -97,8 +127,9 @@
 
     def quota(self, job: JobSpec, zone: str) -> int:
         wanted = len(self.asked[job.id]) + sum(task.job is job for tasks in self.on.values() for task in tasks)
-        return math.ceil(wanted / 2) - sum(task.job is job for name, tasks in self.on.items()
-                                           if self.kinds[name].zone == zone for task in tasks)
+        return math.ceil(wanted / 2) - sum(
+            task.job is job for name, tasks in self.on.items() if self.kinds[name].zone == zone for task in tasks
+        )
 
     def stop(self, task: Task) -> None:
         ran = max(0.0, self.now - task.runs_at)
@@ -151,11 +182,12 @@
 
     def serve(self) -> None:
         for job in self.models.values():
-            names = sorted(self.kinds, key=lambda name, job=job: (-self.claimed[name][job.id],
-                                                                  job.image not in self.images[name]))
+            names = sorted(
+                self.kinds, key=lambda name, job=job: (-self.claimed[name][job.id], job.image not in self.images[name])
+            )
             for name in names:
                 spoken = sum(count for other, count in self.claimed[name].items() if other != job.id)
-                while (self.asked[job.id] and self.free(name) > spoken and self.quota(job, self.kinds[name].zone) > 0):
+                while self.asked[job.id] and self.free(name) > spoken and self.quota(job, self.kinds[name].zone) > 0:
                     self.place(name, job, math.inf)
                     self.claimed[name][job.id] = max(0, self.claimed[name][job.id] - 1)
             if not self.asked[job.id]:
@@ -170,9 +202,18 @@
             wish = used + sum(map(len, self.asked.values()))
             self.reserve.see({"maps": min(wish, self.teams[0].gpus)}, self.now)
             kept = self.reserve.gpus("maps", 0.0, self.teams[0].gpus, used, self.keep, self.now)
-            held = hold(kept, [Free(name, self.free(name) - sum(self.claimed[name].values()), bool(
-                self.images[name] & self.models.keys()), any(task.job.service for task in self.on[name]))
-                for name in self.kinds])
+            held = hold(
+                kept,
+                [
+                    Free(
+                        name,
+                        self.free(name) - sum(self.claimed[name].values()),
+                        bool(self.images[name] & self.models.keys()),
+                        any(task.job.service for task in self.on[name]),
+                    )
+                    for name in self.kinds
+                ],
+            )
         for name in self.kinds:
             while self.free(name) - sum(self.claimed[name].values()) - held.get(name, 0.0) >= 1:
                 left, number = self.back.pop(0) if self.back else (self.rng.uniform(300.0, 3600.0), 0)
@@ -184,9 +225,11 @@
 
     def naive(self) -> None:
         want = sum(map(len, self.asked.values())) - sum(sum(claimed.values()) for claimed in self.claimed.values())
-        young = sorted(((task.placed, name, task.index, task) for name in self.kinds for task in self.lendable(name)),
-                       key=lambda entry: (-entry[0], entry[2]))
-        for _, name, _, task in young[:max(0, want)]:
+        young = sorted(
+            ((task.placed, name, task.index, task) for name in self.kinds for task in self.lendable(name)),
+            key=lambda entry: (-entry[0], entry[2]),
+        )
+        for _, name, _, task in young[: max(0, want)]:
             model = next(iter(sorted(self.asked, key=lambda model: -len(self.asked[model]))))
             if self.quota(self.models[model], self.kinds[name].zone) > 0:
                 self.claimed[name][model] += 1
@@ -203,9 +246,10 @@
             waiting = len(self.asked[model])
             job = self.model(model, max(1, on[model] + waiting))
             services.append(Service(job, on[model], waiting, waiting, 18.0, None, True, (False, -3, 18.0, model)))
-        sites = {name: Site(frozenset(self.images[name]),
-                            Counter(task.job.id for task in tasks if task.job.service))
-                 for name, tasks in self.on.items()}
+        sites = {
+            name: Site(frozenset(self.images[name]), Counter(task.job.id for task in tasks if task.job.service))
+            for name, tasks in self.on.items()
+        }
         lender.see(sites, {name: kind.zone for name, kind in self.kinds.items()})
         serving = sum(on[model] for model in self.models)
         used = {"maps": (4.0 * serving, float(serving)), "vision": (4.0 * on["wk-9"], float(on["wk-9"]))}
@@ -216,9 +260,26 @@
         needs = lender.needs(services, resources, used, promised)
         if not needs:
             return
-        machines = [Held(name, self.kinds[name], self.room(name), [
-            Victim("wk-9", task.index, 1, self.tune, ran := max(0.0, self.now - task.runs_at), ran % 30.0,
-                   self.stops_of.get(task.index, 0)) for task in self.lendable(name)]) for name in open_names]
+        machines = [
+            Held(
+                name,
+                self.kinds[name],
+                self.room(name),
+                [
+                    Victim(
+                        "wk-9",
+                        task.index,
+                        1,
+                        self.tune,
+                        ran := max(0.0, self.now - task.runs_at),
+                        ran % 30.0,
+                        self.stops_of.get(task.index, 0),
+                    )
+                    for task in self.lendable(name)
+                ],
+            )
+            for name in open_names
+        ]
         groups = lender.choose(needs, machines, Budget(Spent(), self.now, {}, 1000, lender.limit), self.now, 12)
         for group in groups:
             for name, claim in group.items():
@@ -234,8 +295,11 @@
 
     def ends(self, name: str) -> list[tuple[float, float, float, float]]:
         """By its estimate, as a part tells."""
-        return [(max(0.0, 1800.0 - (self.now - task.runs_at)), 4.0, 64.0, 1.0) for task in self.on[name]
-                if task.job is self.tune]
+        return [
+            (max(0.0, 1800.0 - (self.now - task.runs_at)), 4.0, 64.0, 1.0)
+            for task in self.on[name]
+            if task.job is self.tune
+        ]
 
 
 def main() -> None:
@@ -246,8 +310,10 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--keep", type=float, default=120.0, help="keep_s of the declaration")
     args = parser.parse_args()
-    print(f"{args.machines} machines of {GPUS} GPUs, swing of {args.period:g} s, {args.minutes:g} minutes, "
-          f"keep {args.keep:g} s; simulated")
+    print(
+        f"{args.machines} machines of {GPUS} GPUs, swing of {args.period:g} s, {args.minutes:g} minutes, "
+        f"keep {args.keep:g} s; simulated"
+    )
     for mode in ("none", "naive", "lending"):
         bench = Bench(args, mode)
         bench.run(int(args.minutes * 60))
@@ -256,11 +322,13 @@
         total = args.machines * GPUS * args.minutes * 60
         stops = sum(number * tasks for number, tasks in bench.stops.items() if number > 0)
         most = max([number for number, tasks in bench.stops.items() if tasks > 0 < number], default=0)
-        print(f"{mode:8} replicas {len(waits)}: in 30 s {sum(w <= 30 for w in waits) / count:.3f}, in 90 s "
-              f"{sum(w <= 90 for w in waits) / count:.3f}, p50 {waits[count // 2]:.0f} s, max {waits[-1]:.0f} s; "
-              f"stops {stops}, most of one task {most}; of all GPU seconds lost {bench.lost / total:.4f}, idle "
-              f"{bench.idle / total:.4f}, tuned {bench.tuned / total:.4f}; "
-              f"planning {bench.plan_s * 1e3 / (args.minutes * 60):.2f} ms a second")
+        print(
+            f"{mode:8} replicas {len(waits)}: in 30 s {sum(w <= 30 for w in waits) / count:.3f}, in 90 s "
+            f"{sum(w <= 90 for w in waits) / count:.3f}, p50 {waits[count // 2]:.0f} s, max {waits[-1]:.0f} s; "
+            f"stops {stops}, most of one task {most}; of all GPU seconds lost {bench.lost / total:.4f}, idle "
+            f"{bench.idle / total:.4f}, tuned {bench.tuned / total:.4f}; "
+            f"planning {bench.plan_s * 1e3 / (args.minutes * 60):.2f} ms a second"
+        )
 
 
 if __name__ == "__main__":
--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -39,14 +39,22 @@
 LABELS = [f"host-{number}" for number in range(5)]
 ZONES = ["a", "b", "c"]
 TEAMS = [config.Team(f"team-{number}", 3000.0, 8000.0) for number in range(4)]
-KIND = wire.MachineType(name="m32", cpus=32.0, memory_gb=128.0, price=1.4, spot_price=0.4, boot_s=50.0,
-                        cache_gb=30.0, zones=ZONES)
-OBJECTIVES = [config.Objective("finished", "even", 250.0), config.Objective("wait", "soon", 12.0),
-              config.Objective("finished", "soon", 120.0), config.Objective("deadline", "wide", times=1.0),
-              config.Objective("guarantee", within_s=5.0)]
+KIND = wire.MachineType(
+    name="m32", cpus=32.0, memory_gb=128.0, price=1.4, spot_price=0.4, boot_s=50.0, cache_gb=30.0, zones=ZONES
+)
+OBJECTIVES = [
+    config.Objective("finished", "even", 250.0),
+    config.Objective("wait", "soon", 12.0),
+    config.Objective("finished", "soon", 120.0),
+    config.Objective("deadline", "wide", times=1.0),
+    config.Objective("guarantee", within_s=5.0),
+]
 # class, jobs a minute at 635 machines, tasks, cpus, memory, images, priority: 7,000 starts a minute
-CLASSES = [("even", 60, 20, 2.0, 4.0, 6, "standard"), ("soon", 72, 25, 4.0, 14.0, 16, "high"),
-           ("wide", 10, 400, 2.0, 7.5, 14, "standard")]
+CLASSES = [
+    ("even", 60, 20, 2.0, 4.0, 6, "standard"),
+    ("soon", 72, 25, 4.0, 14.0, 16, "high"),
+    ("wide", 10, 400, 2.0, 7.5, 14, "standard"),
+]
 
 
 class Clock:
@@ -88,8 +96,10 @@
         return len(data)
 
     def read(self, body: bytes) -> bytes:
-        self.incoming = (f"POST /agent/beat HTTP/1.1\r\nHost: controller\r\nContent-Type: application/json\r\n"
-                         f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        self.incoming = (
+            f"POST /agent/beat HTTP/1.1\r\nHost: controller\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
         self.server.ready(1)
         return HANDED.pop()
 
@@ -120,11 +130,24 @@
         for task in self.tasks.values():
             if task[1] == "running" and task[2] <= now:
                 task[1] = "ended"
-        parts = [{"part": part, "try": task[0], "status": task[1], **({"cause": "done"} if task[1] == "ended" else {})}
-                 for part, task in self.tasks.items()]
-        return json.dumps({"host": self.name, "address": "10.0.0.1:9000", "flavour": KIND.name, "site": self.zone,
-                           "standby": self.spot, "tenure": 1, "counter": self.counter, "mandate": self.mandate,
-                           "recall_s": None, "parts": parts}).encode()
+        parts = [
+            {"part": part, "try": task[0], "status": task[1], **({"cause": "done"} if task[1] == "ended" else {})}
+            for part, task in self.tasks.items()
+        ]
+        return json.dumps(
+            {
+                "host": self.name,
+                "address": "10.0.0.1:9000",
+                "flavour": KIND.name,
+                "site": self.zone,
+                "standby": self.spot,
+                "tenure": 1,
+                "counter": self.counter,
+                "mandate": self.mandate,
+                "recall_s": None,
+                "parts": parts,
+            }
+        ).encode()
 
 
 class Bench:
@@ -150,8 +173,7 @@
         self.commit({}, {VIEW: {"leader": LABELS[0], "members": members}}, [])
         for label in LABELS:
             self.at(0.0, self.follow, label)
-            for offset, pause, step in ((0.01, c.ROUND_S, self.round), (0.02, 0.05, self.write),
-                                        (0.5, 1.0, self.hold)):
+            for offset, pause, step in ((0.01, c.ROUND_S, self.round), (0.02, 0.05, self.write), (0.5, 1.0, self.hold)):
                 self.at(offset + 0.03 * LABELS.index(label), self.every, pause, step, label)
         self.at(1.0, self.every, c.LEADER_ROUND_S, self.lead, LABELS[0])
         self.workers: list[Worker] = []
@@ -164,10 +186,18 @@
 
     def platform(self, label: str) -> config.Platform:
         peers = [config.Peer(other, "a", "127.0.0.1:1") for other in LABELS if other != label]
-        shared = config.Shared(ZONES, TEAMS, config.Workers(3.0, 17.0, 42.0), config.State(250.0, 5000.0, 4.0, 12),
-                               config.Cloud(9.0, 8.0), config.Limits(1.0, 400.0, 2000), OBJECTIVES)
-        return config.Platform(label, "a", "127.0.0.1:1", "127.0.0.1:2", peers,
-                               config.Endpoints("127.0.0.1:3", "127.0.0.1:4"), shared)
+        shared = config.Shared(
+            ZONES,
+            TEAMS,
+            config.Workers(3.0, 17.0, 42.0),
+            config.State(250.0, 5000.0, 4.0, 12),
+            config.Cloud(9.0, 8.0),
+            config.Limits(1.0, 400.0, 2000),
+            OBJECTIVES,
+        )
+        return config.Platform(
+            label, "a", "127.0.0.1:1", "127.0.0.1:2", peers, config.Endpoints("127.0.0.1:3", "127.0.0.1:4"), shared
+        )
 
     # -- the world ---------------------------------------------------------
 
@@ -185,8 +215,10 @@
 
     def commit(self, _conditions, puts, drops) -> int:
         self.epoch += 1
-        self.log += [wire.Change(put=key, data=msgspec.Raw(msgspec.json.encode(value)), stamp=self.epoch)
-                     for key, value in puts.items()]
+        self.log += [
+            wire.Change(put=key, data=msgspec.Raw(msgspec.json.encode(value)), stamp=self.epoch)
+            for key, value in puts.items()
+        ]
         self.log += [wire.Change(drop=key, stamp=self.epoch) for key in drops]
         return self.epoch
 
@@ -201,13 +233,30 @@
         if again:
             self.at(self.now + self.rng.expovariate(rate / 60 * self.size / 635 * self.load), self.submit, name)
         job = f"wk-{next(self.jobs):06d}"
-        spec = wire.parse_job(json.dumps({
-            "id": job, "workload": job_class, "owner": self.rng.choice(TEAMS).name, "shape": "sweep",
-            "urgency": priority, "parts": max(1, round(self.rng.uniform(0.5, 1.5) * tasks)), "vcpus": cpus,
-            "accelerators": 0.0, "mem_gb": memory, "bundle": f"{name}-{self.rng.randrange(images)}", "image_gb": 1.5,
-            "together": False, "apart": False, "standby": name != "even", "expected_s": 25.0,
-            "snapshot_every_s": 0.0, "snapshot_s": 0.0,
-            "due_s": 190.0 if name == "wide" else None}).encode())
+        spec = wire.parse_job(
+            json.dumps(
+                {
+                    "id": job,
+                    "workload": job_class,
+                    "owner": self.rng.choice(TEAMS).name,
+                    "shape": "sweep",
+                    "urgency": priority,
+                    "parts": max(1, round(self.rng.uniform(0.5, 1.5) * tasks)),
+                    "vcpus": cpus,
+                    "accelerators": 0.0,
+                    "mem_gb": memory,
+                    "bundle": f"{name}-{self.rng.randrange(images)}",
+                    "image_gb": 1.5,
+                    "together": False,
+                    "apart": False,
+                    "standby": name != "even",
+                    "expected_s": 25.0,
+                    "snapshot_every_s": 0.0,
+                    "snapshot_s": 0.0,
+                    "due_s": 190.0 if name == "wide" else None,
+                }
+            ).encode()
+        )
         self.hand_in(self.rng.choice(LABELS), spec)
 
     def hand_in(self, label: str, spec: wire.JobSpec) -> None:
@@ -279,8 +328,9 @@
         node = self.nodes[label]
         batch = self.clock("records", node.next_batch, self.now)
         if batch is not None:
-            self.clock("records", node.batch_done, batch, self.commit(batch.conditions, batch.puts, batch.drops),
-                       self.now)
+            self.clock(
+                "records", node.batch_done, batch, self.commit(batch.conditions, batch.puts, batch.drops), self.now
+            )
             self.carry(label)
 
     def lead(self, label: str) -> None:
--- a/tools/bench_opening.py
+++ b/tools/bench_opening.py
@@ -40,8 +40,10 @@
         self.first: dict[str, float] = {}  # job of the class -> its first start
         super().__init__(machines, args.load, args.seed)
         self.size = 2 * machines  # that the cloud has
-        text = Text([Calendar("c", "UTC", [[(0, 1440)]] * 7, [(0, [(int(OPENS // 60), 1440)])])],
-                    [Class("*", "opening", "c", warm_up_s=warm_s, spread_s=spread_s)])
+        text = Text(
+            [Calendar("c", "UTC", [[(0, 1440)]] * 7, [(0, [(int(OPENS // 60), 1440)])])],
+            [Class("*", "opening", "c", warm_up_s=warm_s, spread_s=spread_s)],
+        )
         # The bench's time of day: the calendar opens at a whole minute, which is second 90 here.
         self.offset = int(OPENS // 60) * 60 - OPENS
         for node in self.nodes.values():
@@ -52,11 +54,29 @@
             self.at(5.0 + 50.0 * number / args.jobs, self.opening_job, number, args.tasks)
 
     def opening_job(self, number: int, tasks: int) -> None:
-        spec = wire.parse_job(json.dumps({
-            "id": f"wk-9{number:05d}", "workload": "opening", "owner": self.users.choice(base.TEAMS).name,
-            "shape": "sweep", "urgency": "high", "parts": tasks, "vcpus": 2.0, "accelerators": 0.0,
-            "mem_gb": 4.0, "bundle": f"even-{number % 6}", "image_gb": 1.5, "together": False, "apart": False,
-            "standby": True, "expected_s": 25.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0}).encode())
+        spec = wire.parse_job(
+            json.dumps(
+                {
+                    "id": f"wk-9{number:05d}",
+                    "workload": "opening",
+                    "owner": self.users.choice(base.TEAMS).name,
+                    "shape": "sweep",
+                    "urgency": "high",
+                    "parts": tasks,
+                    "vcpus": 2.0,
+                    "accelerators": 0.0,
+                    "mem_gb": 4.0,
+                    "bundle": f"even-{number % 6}",
+                    "image_gb": 1.5,
+                    "together": False,
+                    "apart": False,
+                    "standby": True,
+                    "expected_s": 25.0,
+                    "snapshot_every_s": 0.0,
+                    "snapshot_s": 0.0,
+                }
+            ).encode()
+        )
         self.hand_in(self.users.choice(base.LABELS), spec)
 
     def lead(self, label: str) -> None:
@@ -83,17 +103,20 @@
     after = range(int(OPENS), int(OPENS) + 120)
     ends = [part for part in bench.ended if part.startswith("wk-9")]
     waits = sorted(at - OPENS for at in bench.first.values())
-    return {"run orders a second, calm": round(sum(runs[s] for s in calm) / len(calm), 1),
-            "of the class, busiest second": max(ours[s] for s in after),
-            "mean of its busiest 10 s": round(max(sum(ours[s + n] for n in range(10)) for s in after) / 10, 1),
-            "rentals a second, calm": round(sum(bench.rentals[s] for s in calm) / len(calm), 2),
-            "busiest second, warm-up on": max(bench.rentals[s] for s in range(int(OPENS - args.warm), int(UNTIL))),
-            "machines rented, warm-up on": sum(bench.rentals[s] for s in range(int(OPENS - args.warm), int(UNTIL))),
-            "jobs started of the class": len(waits),
-            "first start, median, s": round(waits[len(waits) // 2], 1) if waits else float("nan"),
-            "first start, last, s": round(waits[-1], 1) if waits else float("nan"),
-            "started before the opening": sum(wait < 0 for wait in waits),
-            "tasks ended by the end": len(ends), "cpu, s": round(spent, 1)}
+    return {
+        "run orders a second, calm": round(sum(runs[s] for s in calm) / len(calm), 1),
+        "of the class, busiest second": max(ours[s] for s in after),
+        "mean of its busiest 10 s": round(max(sum(ours[s + n] for n in range(10)) for s in after) / 10, 1),
+        "rentals a second, calm": round(sum(bench.rentals[s] for s in calm) / len(calm), 2),
+        "busiest second, warm-up on": max(bench.rentals[s] for s in range(int(OPENS - args.warm), int(UNTIL))),
+        "machines rented, warm-up on": sum(bench.rentals[s] for s in range(int(OPENS - args.warm), int(UNTIL))),
+        "jobs started of the class": len(waits),
+        "first start, median, s": round(waits[len(waits) // 2], 1) if waits else float("nan"),
+        "first start, last, s": round(waits[-1], 1) if waits else float("nan"),
+        "started before the opening": sum(wait < 0 for wait in waits),
+        "tasks ended by the end": len(ends),
+        "cpu, s": round(spent, 1),
+    }
 
 
 def main() -> int:
@@ -109,8 +132,11 @@
     logging.basicConfig(level=logging.CRITICAL)
     gc.set_threshold(*c.GC_THRESHOLDS)
     for size in args.machines:
-        for mode, spread_s, warm_s in (("naive", 0.0, 0.0), ("spread", args.spread, 0.0),
-                                       ("warm", args.spread, args.warm)):
+        for mode, spread_s, warm_s in (
+            ("naive", 0.0, 0.0),
+            ("spread", args.spread, 0.0),
+            ("warm", args.spread, args.warm),
+        ):
             found = measure(args, size, spread_s, warm_s)
             figures = "; ".join(f"{name} {number}" for name, number in found.items())
             print(f"{size} machines, {mode}: {figures}", flush=True)
--- a/tools/bench_urgent.py
+++ b/tools/bench_urgent.py
@@ -100,13 +100,26 @@
         super().come_back(label)
         self.prepare(self.nodes[label])
 
-    def want(self, at: float, job_class: str, priority: str, tasks: int, cpus: float, run_s: float,
-             saves: bool) -> None:
+    def want(
+        self, at: float, job_class: str, priority: str, tasks: int, cpus: float, run_s: float, saves: bool
+    ) -> None:
         self.number += 1
-        spec = wire.JobSpec(id=f"wk-{self.number:06d}", job_class=job_class, team=f"team-{self.number % 4}",
-                            kind="sweep", priority=priority, tasks=tasks, cpus=cpus, memory_gb=1.0, image="i",
-                            image_gb=1.0, estimate_s=run_s, checkpoint_s=30.0 if saves else 0.0,
-                            save_s=3.0 if saves else 0.0, spot=True)
+        spec = wire.JobSpec(
+            id=f"wk-{self.number:06d}",
+            job_class=job_class,
+            team=f"team-{self.number % 4}",
+            kind="sweep",
+            priority=priority,
+            tasks=tasks,
+            cpus=cpus,
+            memory_gb=1.0,
+            image="i",
+            image_gb=1.0,
+            estimate_s=run_s,
+            checkpoint_s=30.0 if saves else 0.0,
+            save_s=3.0 if saves else 0.0,
+            spot=True,
+        )
         self.specs[spec.id], self.asked[spec.id] = spec, at
         self.at(at, self.hand_in, base.LABELS[self.number % 5], spec)
 
@@ -121,8 +134,11 @@
         spec = self.specs[wire.split_task(part)[0]]
         if spec.priority == "high":
             self.first.setdefault(part, self.now)
-        whole = random.Random(part).uniform(0.5, 1.5) * spec.estimate_s if spec.priority != "high" else (
-            random.Random(part).uniform(10.0, 20.0))
+        whole = (
+            random.Random(part).uniform(0.5, 1.5) * spec.estimate_s
+            if spec.priority != "high"
+            else (random.Random(part).uniform(10.0, 20.0))
+        )
         return self.left.setdefault(part, whole)
 
     def stop(self, worker, part: str, order: dict) -> None:
@@ -169,15 +185,20 @@
     waits = sorted(at - bench.asked[wire.split_task(part)[0]] for part, at in bench.first.items())
     urgent = sum(spec.tasks for spec in bench.specs.values() if spec.priority == "high")
     routine = [at - bench.asked[job] for job, at in bench.done_at.items() if bench.specs[job].priority != "high"]
-    return {"urgent tasks started in 12 s, share": round(sum(wait <= AIM_S for wait in waits) / urgent, 3),
-            "their wait, p50, s": round(statistics.median(waits), 1),
-            "p90, s": round(waits[int(len(waits) * 0.9)], 1), "max, s": round(waits[-1], 1),
-            "tasks stopped": bench.stops, "work lost, CPU s a machine": round(bench.work_lost / size, 1),
-            "routine jobs, mean end, s": round(statistics.mean(routine), 1),
-            "all ended at, s": round(max(bench.done_at.values()), 0) if len(bench.done_at) == len(bench.specs) else -1,
-            "claims left": sum(key.startswith(CLAIMS) for key in bench.data),
-            "ran twice": bench.again, "machines rented": bench.rented,
-            "processor time, s": round(time.process_time() - began, 1)}
+    return {
+        "urgent tasks started in 12 s, share": round(sum(wait <= AIM_S for wait in waits) / urgent, 3),
+        "their wait, p50, s": round(statistics.median(waits), 1),
+        "p90, s": round(waits[int(len(waits) * 0.9)], 1),
+        "max, s": round(waits[-1], 1),
+        "tasks stopped": bench.stops,
+        "work lost, CPU s a machine": round(bench.work_lost / size, 1),
+        "routine jobs, mean end, s": round(statistics.mean(routine), 1),
+        "all ended at, s": round(max(bench.done_at.values()), 0) if len(bench.done_at) == len(bench.specs) else -1,
+        "claims left": sum(key.startswith(CLAIMS) for key in bench.data),
+        "ran twice": bench.again,
+        "machines rented": bench.rented,
+        "processor time, s": round(time.process_time() - began, 1),
+    }
 
 
 def main() -> int:
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -62,8 +62,14 @@
 
 def pytest(folder: Path, *args: str, quiet: bool = False) -> subprocess.CompletedProcess:
     path = os.pathsep.join(filter(None, [str(Path(__file__).resolve().parent), os.environ.get("PYTHONPATH")]))
-    return subprocess.run([sys.executable, "-m", "pytest", "-q", *args], cwd=folder, text=True, check=False,
-                          env={**os.environ, "PYTHONPATH": path}, capture_output=quiet)
+    return subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", *args],
+        cwd=folder,
+        text=True,
+        check=False,
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=quiet,
+    )
 
 
 def check(folder: Path) -> None:
--- a/tools/service.py
+++ b/tools/service.py
@@ -35,10 +35,14 @@
 BEGIN_S, KNOWN_S = 240.0, 75.0
 CANCEL_S = 42.0  # where no other is given
 MOST_TASKS = 100_000
-LINE = re.compile(r"\s*(?P<at>[\d.]+) (?P<who>\S+) INFO \S+ job=(?P<job>\S+) "
-                  r"state=(?P<state>accepted|ready|begun|done|aborted|unanswered)(?P<more>.*)")
-AIM = re.compile(r"\s+(?:met|missed) +(?P<aim>(?:wait|finished|deadline) (?P<cls>\S+) [\d.]+ \S+)"
-                 r": (?P<value>[\d.]+) of")
+LINE = re.compile(
+    r"\s*(?P<at>[\d.]+) (?P<who>\S+) INFO \S+ job=(?P<job>\S+) "
+    r"state=(?P<state>accepted|ready|begun|done|aborted|unanswered)(?P<more>.*)"
+)
+AIM = re.compile(
+    r"\s+(?:met|missed) +(?P<aim>(?:wait|finished|deadline) (?P<cls>\S+) [\d.]+ \S+)"
+    r": (?P<value>[\d.]+) of"
+)
 
 
 @dataclass
@@ -94,10 +98,18 @@
                 each = float(told.get("cpus", 1.0))  # earlier versions did not say it
                 tasks = int(told.get("tasks") or 0)
                 lacks = [name for name in ("class", "team", "tasks") if not told.get(name)]
-                flaw = (f"lacks {', '.join(lacks)}" if lacks else f"{tasks} tasks" if not 1 <= tasks <= MOST_TASKS
-                        else "" if each > 0 else f"{each:g} CPUs")  # NaN is not
-                self.jobs[job] = Facts(told.get("class", ""), told.get("team", ""), 0.0 if flaw else tasks * each,
-                                       at, at, flaw=flaw)
+                flaw = (
+                    f"lacks {', '.join(lacks)}"
+                    if lacks
+                    else f"{tasks} tasks"
+                    if not 1 <= tasks <= MOST_TASKS
+                    else ""
+                    if each > 0
+                    else f"{each:g} CPUs"
+                )  # NaN is not
+                self.jobs[job] = Facts(
+                    told.get("class", ""), told.get("team", ""), 0.0 if flaw else tasks * each, at, at, flaw=flaw
+                )
         elif facts is None:
             return
         elif state == "ready":
@@ -122,8 +134,11 @@
         return dict(sorted(groups.items()))
 
     def forgotten(self) -> list[str]:
-        return [job for job, facts in self.jobs.items()
-                if sum(wait >= KNOWN_S for wait in facts.unanswered.values()) >= min(2, len(self.controllers))]
+        return [
+            job
+            for job, facts in self.jobs.items()
+            if sum(wait >= KNOWN_S for wait in facts.unanswered.values()) >= min(2, len(self.controllers))
+        ]
 
 
 def within(calm: Day) -> dict[str, float]:
@@ -137,7 +152,7 @@
 
 
 def largest(jobs: list[Facts]) -> list[Facts]:
-    return sorted(jobs, key=lambda facts: -facts.cpus)[:math.ceil(len(jobs) * LARGEST)]
+    return sorted(jobs, key=lambda facts: -facts.cpus)[: math.ceil(len(jobs) * LARGEST)]
 
 
 def report(day: Day, calm: Day, limit: dict[str, float], cancel_s: float = CANCEL_S) -> bool:
@@ -154,27 +169,40 @@
         for name, jobs in day.groups(by).items():
             done = sum(facts.done < math.inf for facts in jobs) / len(jobs)
             timely = sum(facts.took <= limit.get(facts.job_class, 0.0) for facts in jobs) / len(jobs) / 0.9
-            say(f"{title} {name}: {len(jobs)} jobs, done {done:.3f}, in time {min(1.0, timely):.2f}",
-                min(done, timely) < HALF)
+            say(
+                f"{title} {name}: {len(jobs)} jobs, done {done:.3f}, in time {min(1.0, timely):.2f}",
+                min(done, timely) < HALF,
+            )
     for name, jobs in day.groups("job_class").items():
         large = largest(jobs)
         done = sum(facts.done < math.inf for facts in large) / len(large)
         waits = sorted(facts.begun - facts.ready for facts in large)
         late = sum(wait > BEGIN_S for wait in waits)
-        say(f"largest of {name}: {len(large)} jobs of {min(f.cpus for f in large):g} CPUs or more, done {done:.3f}, "
+        say(
+            f"largest of {name}: {len(large)} jobs of {min(f.cpus for f in large):g} CPUs or more, done {done:.3f}, "
             f"begun after {waits[len(waits) // 2]:.0f} s in the middle, {waits[-1]:.0f} s at most, {late} too late",
-            done < HALF or late > 0)
+            done < HALF or late > 0,
+        )
     forgotten = day.forgotten()
     longest = max((max(facts.unanswered.values(), default=0.0) for facts in day.jobs.values()), default=0.0)
-    say(f"questions: {sum(bool(facts.unanswered) for facts in day.jobs.values())} jobs unanswered for a time at some "
-        f"controller, {longest:.0f} s at most; {len(forgotten)} forgotten", bool(forgotten))
+    say(
+        f"questions: {sum(bool(facts.unanswered) for facts in day.jobs.values())} jobs unanswered for a time at some "
+        f"controller, {longest:.0f} s at most; {len(forgotten)} forgotten",
+        bool(forgotten),
+    )
     flawed = [f"{job}: {facts.flaw}" for job, facts in day.jobs.items() if facts.flaw]
-    say(f"submissions: {len(day.jobs)} accepted, {len(flawed)} that can't run or lack a field"
-        f"{' (' + flawed[0] + ')' if flawed else ''}", bool(flawed))
+    say(
+        f"submissions: {len(day.jobs)} accepted, {len(flawed)} that can't run or lack a field"
+        f"{' (' + flawed[0] + ')' if flawed else ''}",
+        bool(flawed),
+    )
     after = [facts.last_start - facts.aborted for facts in day.jobs.values() if facts.last_start > facts.aborted]
     late = sum(by > cancel_s for by in after)
-    say(f"cancelled: {sum(facts.cancelled for facts in day.jobs.values())} jobs, {len(after)} begun after that, "
-        f"{max(after, default=0.0):.1f} s at most, {late} beyond {cancel_s:g} s", late > 0)
+    say(
+        f"cancelled: {sum(facts.cancelled for facts in day.jobs.values())} jobs, {len(after)} begun after that, "
+        f"{max(after, default=0.0):.1f} s at most, {late} beyond {cancel_s:g} s",
+        late > 0,
+    )
     for aim, (_, value) in day.aims.items():
         before = calm.aims.get(aim, ("", 0.0))[1]
         if before and value / before < HALF:
