Workers of a silent member are sent on to one that is heard

Cause: a worker whose owner is cut off waits 4 s for it, tries the next member, and was sent back to the owner by one that had not heard it for 7 s and more, or that did not know the new view yet; its lease (17 s) ended meanwhile. Change: Membership.report_to names the next member that is heard while the owner is silent. The test world asks the same. Left: workers that try two cut-off members one after the other (4 s each), which is theirs.

--- a/alderbridge/contact.py
+++ b/alderbridge/contact.py
@@ -164,6 +164,11 @@
         heard = sum(peer.heard_at is None or now - peer.heard_at < c.CONTACT_TTL_S for peer in self.peers.values())
         return 1 + heard < self.majority
 
+    def hears(self, label: str) -> bool:
+        """Whether that member has been heard lately; one that is no other member of the view counts as heard."""
+        peer = self.peers.get(label)
+        return peer is None or peer.touch is Touch.HEARD
+
     def missing(self) -> list[str]:
         """Members that are not heard, given up or not; for the others."""
         return [label for label, peer in self.peers.items() if peer.touch is not Touch.HEARD]
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -496,7 +496,7 @@
         node = self.node
         if not node.loaded or not self.membership.may_act(now()):
             return later("not entitled")
-        owner = self.membership.part_of(beat.machine)
+        owner = self.membership.report_to(beat.machine)
         if beat.mandate > self.membership.mandate:
             return later("a newer view has begun")  # a 200 would be dropped, and hold the worker here for its lease
         if owner != node.me:
--- a/alderbridge/view.py
+++ b/alderbridge/view.py
@@ -162,6 +162,19 @@
             part = self.parts[machine] = choose(machine, sorted(members)) if members else ""
         return part
 
+    def report_to(self, machine: str) -> str:
+        """The member that the machine's worker is told to report to.
+
+        That is its owner, unless the owner has been silent for nearly as long as it takes to replace it. A worker waits
+        4 s for a member that is cut off; sent back there a second time, it outlived its lease. So it goes from one
+        member that is heard to the next, at once or after half a second, until one knows the view without the owner.
+        """
+        owner = self.part_of(machine)
+        if owner == self.me or self.contact.hears(owner):
+            return owner
+        heard = sorted(label for label in self.view.members if label != self.me and self.contact.hears(label))
+        return next((label for label in heard if label > self.me), heard[0] if heard else owner)
+
     def all_run(self, generation: int) -> bool:
         """Whether whoever takes part, or is about to, runs this generation of the program or a newer one.
 
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -258,6 +258,23 @@
     assert len(world.view.members) == 5 and all(sim.node.may_act() for sim in world.nodes.values())
 
 
+def test_a_worker_is_sent_on_to_a_member_that_is_heard_while_its_owner_is_silent():
+    membership = Membership("host-1", 20.0)
+    membership.hold.renewed(2, 0.0)
+    members = {f"host-{number}": number + 1 for number in range(4)}
+    membership.saw_view(View("host-0", members, contact_s=8.0), 10)
+    machine = next(f"n-{number}" for number in range(99) if membership.part_of(f"n-{number}") == "host-2")
+    assert membership.report_to(machine) == "host-2"
+    membership.contact.peers["host-2"].fall_silent()
+    assert membership.report_to(machine) == "host-3", "the next one that is heard"
+    membership.contact.peers["host-3"].fall_silent()
+    assert membership.report_to(machine) == "host-0"
+    membership.contact.peers["host-0"].fall_silent()
+    assert membership.report_to(machine) == "host-2", "nobody is heard: this member may be the one that is cut off"
+    own = next(f"n-{number}" for number in range(99) if membership.part_of(f"n-{number}") == "host-1")
+    assert membership.report_to(own) == "host-1"
+
+
 def test_controllers_that_all_lose_each_other_go_on_without_the_rule_and_take_it_up_again():
     world = Ties(14004, nodes=5, jobs=0)
     world.run(30.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -798,7 +798,7 @@
         beat = wire.parse_beat(raw)
         if not node.loaded or not node.membership.may_act(world.t):
             return reply(503, b"")
-        owner = node.membership.part_of(beat.machine)
+        owner = node.membership.report_to(beat.machine)
         if owner != self.label:
             return reply(421, owner.encode())
         mandate = node.membership.mandate
