Claims: one plan neither stops a job that it serves nor serves one that it stops

Change: the choice keeps the jobs that it served and stopped apart; test of the choice, seen to fail without the change.

--- a/alderbridge/claims/choosing.py
+++ b/alderbridge/claims/choosing.py
@@ -116,6 +116,7 @@
                 if victim.spec.gang:
                     self.gangs.setdefault(victim.job, []).append((name, victim))
         self.links: dict[str, set[str]] = {}
+        self.served: set[str] = set()  # jobs that were given a turn: none of them is stopped for another in this plan
 
     def unit(self, name: str, victim: Victim, need: Need) -> list[tuple[str, Victim]] | None:
         """What stops with the victim: itself, or its gang as a whole; None where that can't be."""
@@ -142,7 +143,7 @@
             return _Step(0.0, [])  # what has stopped already makes room for more than one
         units, seen = [], set()
         for victim in machine.held.tasks:
-            if (victim.job, victim.index) in machine.chosen or victim.job == spec.id or spared(victim):
+            if (victim.job, victim.index) in machine.chosen or victim.job in self.served or spared(victim):
                 continue
             if victim.spec.gang and victim.job in seen:
                 continue
@@ -194,8 +195,14 @@
         return room
 
     def serve(self, need: Need) -> None:
-        """Make room for the need's tasks, one after the other where it costs least."""
+        """Make room for the need's tasks, one after the other where it costs least.
+
+        Not for a job that this plan stops already: what was preempted does not preempt.
+        """
         spec, heap = need.spec, []
+        if self.of_job[spec.id]:
+            return
+        self.served.add(spec.id)
         for name, machine in self.machines.items():
             kind = machine.held.kind
             if not allowed(spec, kind.type, kind.zone, kind.spot) or need.zone not in (None, kind.zone):
