bench_node: controllers, teams, messages, the store's changes, and a grid with slopes

Cause: the four teams' fixed limits bind above some 1,000 machines, and nothing was counted but processor time.

--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -1,12 +1,14 @@
-"""Processor time per start, by part of the code, of five controllers at a fleet's true size.
+"""Processor time per start, by part of the code, of several controllers at a fleet's true size.
 
-    python3 tools/bench_node.py [--machines 75 150 300 635 1000] [--seconds 60] [--profile PART]
+    python3 tools/bench_node.py [--machines 75 150 300 635 1000] [--controllers 5] [--teams 4] [--seconds 60]
+                                [--profile PART]
+    python3 tools/bench_node.py --grid RESULTS.json [--jobs 3]      every point of ``bench_grid``, with its slopes
 
-Five pure ``Node``s, an ideal store, machines that report every 3 s over the service's
+Pure ``Node``s, an ideal store, machines that report every 3 s over the service's
 own HTTP code, messages that pass through the mesh's own encoding. Nothing is lost and
 nothing fails: it tells what an event costs, and not how well the service decides.
-Simulated machines; processor time of this process. Load grows with the machines, so
-what a start costs should not.
+Simulated machines; processor time of this process. Load and the teams' limits grow
+with the machines, so what a start costs should not.
 """
 
 from __future__ import annotations
@@ -21,8 +23,10 @@
 import logging
 import pstats
 import random
+import statistics
 import sys
 import time
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -38,7 +42,18 @@
 GENERATION = getattr(c, "GENERATION", c.PIPELINES)  # earlier checkouts, which bench_fall measures, have but that
 LABELS = [f"host-{number}" for number in range(5)]
 ZONES = ["a", "b", "c"]
-TEAMS = [config.Team(f"team-{number}", 3000.0, 8000.0) for number in range(4)]
+LIMITS_AT = 635  # machines; the teams' limits below are those of all teams together at this size
+GUARANTEED_CPUS, MOST_CPUS = 12_000.0, 32_000.0  # the machines have 20,320
+WARM_UP_S = 20.0  # simulated seconds before anything is measured
+
+
+def teams_of(count: int, machines: int) -> list[config.Team]:
+    """Teams that share what grows with the machines."""
+    share = machines / LIMITS_AT / count
+    return [config.Team(f"team-{number}", GUARANTEED_CPUS * share, MOST_CPUS * share) for number in range(count)]
+
+
+TEAMS = teams_of(4, LIMITS_AT)
 KIND = wire.MachineType(
     name="m32", cpus=32.0, memory_gb=128.0, price=1.4, spot_price=0.4, boot_s=50.0, cache_gb=30.0, zones=ZONES
 )
@@ -58,13 +73,21 @@
 
 
 class Clock:
-    """Processor time by part of the code."""
+    """Processor time by part of the code, and by the controller at work."""
 
     def __init__(self, profile: str | None) -> None:
         self.spent: dict[str, float] = collections.defaultdict(float)
         self.calls: dict[str, int] = collections.defaultdict(int)
+        self.by_controller: dict[str, float] = collections.defaultdict(float)
+        self.owner = ""  # the controller at work
         self.profile, self.profiler = profile, cProfile.Profile()
 
+    def clear(self) -> None:
+        """Begin to count anew."""
+        self.spent.clear()
+        self.calls.clear()
+        self.by_controller.clear()
+
     def __call__(self, part: str, call, *args):
         watched = part == self.profile or self.profile == "all"
         if watched:
@@ -73,7 +96,9 @@
         try:
             return call(*args)
         finally:
-            self.spent[part] += time.thread_time() - began
+            spent = time.thread_time() - began
+            self.spent[part] += spent
+            self.by_controller[self.owner] += spent
             self.calls[part] += 1
             if watched:
                 self.profiler.disable()
@@ -150,32 +175,74 @@
         ).encode()
 
 
+@dataclass
+class Traffic:
+    """Messages of one kind between controllers."""
+
+    messages: int = 0
+    bytes: int = 0
+
+    def count(self, size: int) -> None:
+        """One more, of that many bytes."""
+        self.messages += 1
+        self.bytes += size
+
+
+@dataclass
+class Counts:
+    """What happened since the last time that counting began."""
+
+    starts: int = 0
+    store_changes: int = 0
+    transactions: int = 0
+    reports: int = 0
+    worker_bytes_in: int = 0  # bodies of reports
+    worker_bytes_out: int = 0  # bodies of answers
+    asked: int = 0  # tasks that parts asked other homes for
+    granted: int = 0  # of these
+    used_share: list[float] = field(default_factory=list)  # of the cpus of all machines, each second
+    reachable_share: list[float] = field(default_factory=list)  # the most that waits and runs within the teams' limits
+    waits_s: list[float] = field(default_factory=list)  # of each job, from its submission to its first start
+    sent: dict[str, Traffic] = field(default_factory=lambda: collections.defaultdict(Traffic))
+    leader_received: dict[str, Traffic] = field(default_factory=lambda: collections.defaultdict(Traffic))
+
+
 class Bench:
-    def __init__(self, machines: int, load: float, seed: int, profile: str | None) -> None:
+    """Controllers, machines that report to them, and users, in one process."""
+
+    def __init__(
+        self, machines: int, load: float, seed: int, profile: str | None, controllers: int = 5, teams: int = 4
+    ) -> None:
+        self.labels = [f"host-{number}" for number in range(controllers)]
+        self.teams = teams_of(teams, machines)
+        self.counts = Counts()
+        self.specs: dict[str, wire.JobSpec] = {}
+        self.submitted_at: dict[str, float] = {}  # of jobs of which nothing has started
         self.rng, self.size, self.load, self.clock = random.Random(seed), machines, load, Clock(profile)
-        self.now, self.epoch, self.starts = 0.0, 0, 0
+        self.now, self.epoch = 0.0, 0
         self.log: list[wire.Change] = []
         self.events: list = []
         self.order = itertools.count()
         self.jobs, self.left = itertools.count(1), {}
         self.durations: dict[str, float] = {}
         self.names = itertools.count(1)
-        self.encoders = {label: mesh.Encoder() for label in LABELS}
-        self.nodes = {label: Node(self.platform(label), config.Tuning(), 0.0) for label in LABELS}
+        self.encoders = {label: mesh.Encoder() for label in self.labels}
+        self.nodes = {label: Node(self.platform(label), config.Tuning(), 0.0) for label in self.labels}
         for label, node in self.nodes.items():
-            node.membership.hold.renewed(LABELS.index(label) + 1, 0.0)
+            node.membership.hold.renewed(self.labels.index(label) + 1, 0.0)
             node.loaded = True
             node.learn_types({KIND.name: KIND})
             node.leader.on_listing([], 0.0)
-        members = {label: number + 1 for number, label in enumerate(LABELS)}
+        members = {label: number + 1 for number, label in enumerate(self.labels)}
         for label, permit in members.items():
             self.commit({}, {MEMBERS + label: Presence(permit, GENERATION)}, [])
-        self.commit({}, {VIEW: {"leader": LABELS[0], "members": members}}, [])
-        for label in LABELS:
+        self.commit({}, {VIEW: {"leader": self.labels[0], "members": members}}, [])
+        for label in self.labels:
             self.at(0.0, self.follow, label)
             for offset, pause, step in ((0.01, c.ROUND_S, self.round), (0.02, 0.05, self.write), (0.5, 1.0, self.hold)):
-                self.at(offset + 0.03 * LABELS.index(label), self.every, pause, step, label)
-        self.at(1.0, self.every, c.LEADER_ROUND_S, self.lead, LABELS[0])
+                self.at(offset + 0.03 * self.labels.index(label), self.every, pause, step, label)
+        self.at(1.0, self.every, c.LEADER_ROUND_S, self.lead, self.labels[0])
+        self.at(1.5, self.every, 1.0, self.sample, self.labels[0])
         self.workers: list[Worker] = []
         for _ in range(machines * 9 // 10):  # as in a steady hour: the same starts a machine at each size
             self.add_machine(self.rng.random() < 0.7, self.rng.choice(ZONES), self.rng.uniform(0.5, 3.5))
@@ -185,10 +252,10 @@
                 self.at(self.rng.uniform(1.0, 2.0), self.submit, name, False)
 
     def platform(self, label: str) -> config.Platform:
-        peers = [config.Peer(other, "a", "127.0.0.1:1") for other in LABELS if other != label]
+        peers = [config.Peer(other, "a", "127.0.0.1:1") for other in self.labels if other != label]
         shared = config.Shared(
             ZONES,
-            TEAMS,
+            self.teams,
             config.Workers(3.0, 17.0, 42.0),
             config.State(250.0, 5000.0, 4.0, 12),
             config.Cloud(9.0, 8.0),
@@ -238,7 +305,7 @@
                 {
                     "id": job,
                     "workload": job_class,
-                    "owner": self.rng.choice(TEAMS).name,
+                    "owner": self.rng.choice(self.teams).name,
                     "shape": "sweep",
                     "urgency": priority,
                     "parts": max(1, round(self.rng.uniform(0.5, 1.5) * tasks)),
@@ -257,15 +324,20 @@
                 }
             ).encode()
         )
-        self.hand_in(self.rng.choice(LABELS), spec)
+        self.hand_in(self.rng.choice(self.labels), spec)
 
     def hand_in(self, label: str, spec: wire.JobSpec) -> None:
+        """A user submits the job at that controller."""
+        self.specs[spec.id], self.submitted_at[spec.id] = spec, self.now
+        self.clock.owner = label
         self.clock("submit", self.nodes[label].submit, spec, self.now, self.now)
 
     def report(self, worker: Worker) -> None:
-        owner = self.nodes[LABELS[0]].membership.part_of(worker.name)
+        owner = self.nodes[self.labels[0]].membership.part_of(worker.name)
         node, clock = self.nodes[owner], self.clock
-        body = clock("http", worker.wire.read, worker.report(self.now))
+        clock.owner = owner
+        report = worker.report(self.now)
+        body = clock("http", worker.wire.read, report)
         beat = clock("http", wire.parse_beat, body)
         mandate = node.membership.mandate
         machine = clock("report", node.beat, beat, self.now)
@@ -274,13 +346,19 @@
         orders = clock("orders", node.part.orders, machine)
         answer = clock("http", wire.beat_answer, mandate, orders)
         clock("http", worker.wire.answer, (200, answer, []))
+        self.counts.reports += 1
+        self.counts.worker_bytes_in += len(report)
+        self.counts.worker_bytes_out += len(answer)
         told = json.loads(answer)
         worker.mandate = told["mandate"]
         for order in told["orders"]:
             if order["verb"] == "clear":
                 worker.tasks.pop(order["part"], None)
             elif order["verb"] == "run" and order["part"] not in worker.tasks:
-                self.starts += 1
+                self.counts.starts += 1
+                job = order["part"].rpartition("/")[0]
+                if job in self.submitted_at:
+                    self.counts.waits_s.append(self.now - self.submitted_at.pop(job))
                 worker.tasks[order["part"]] = [order["try"], "running", self.now + self.rng.uniform(10.0, 40.0)]
         self.at(self.now + 3.0 * self.rng.uniform(0.9, 1.1), self.report, worker)
 
@@ -295,19 +373,55 @@
             outgoing, node.outgoing = node.outgoing, []
             node.news.clear()
             buffers: dict[str, bytearray] = {}
+            self.clock.owner = sender
             for peer, frame in outgoing:
                 data = self.clock("mesh", self.encoders[sender], frame)
+                self.count_frame(peer, frame.body, len(data))
                 buffers.setdefault(peer, bytearray()).extend(data)
             for peer, buffer in buffers.items():
+                self.clock.owner = peer
                 for frame in self.clock("mesh", lambda buffer=buffer: list(mesh.split_frames(buffer))):
                     self.clock(f"on {type(frame.body).__name__}", self.nodes[peer].on_frame, frame, self.now)
                 waiting.append(peer)
 
+    def count_frame(self, peer: str, body: mesh.Message, size: int) -> None:
+        """Count a message between controllers."""
+        counts, kind = self.counts, type(body).__name__
+        counts.sent[kind].count(size)
+        if peer == self.labels[0]:
+            counts.leader_received[kind].count(size)
+        if isinstance(body, mesh.Take):
+            counts.asked += body.count
+        elif isinstance(body, mesh.Grant):
+            counts.granted += len(body.tasks)
+
+    def sample(self, _label: str) -> None:
+        """How much of the machines is used, and the most of them that could be within the teams' limits."""
+        used: dict[str, float] = collections.defaultdict(float)
+        for worker in self.workers:
+            for part, task in worker.tasks.items():
+                if task[1] == "running":
+                    spec = self.specs[part.rpartition("/")[0]]
+                    used[spec.team] += spec.cpus
+        wanted = collections.defaultdict(float, used)
+        for node in self.nodes.values():
+            for job in node.home.jobs.values():
+                wanted[job.spec.team] += job.waiting * job.spec.cpus
+        total = len(self.workers) * KIND.cpus
+        reachable = sum(min(team.cpus_max, wanted[team.name]) for team in self.teams)
+        self.counts.used_share.append(sum(used.values()) / total)
+        self.counts.reachable_share.append(min(1.0, reachable / total))
+
+    def begin_to_count(self) -> None:
+        """Forget what was counted so far."""
+        self.clock.clear()
+        self.counts = Counts()
+
     def hold(self, label: str) -> None:
-        self.nodes[label].membership.hold.renewed(LABELS.index(label) + 1, self.now)
+        self.nodes[label].membership.hold.renewed(self.labels.index(label) + 1, self.now)
 
     def follow(self, label: str) -> None:
-        node = self.nodes[label]
+        node, self.clock.owner = self.nodes[label], label
         node.membership.followed(self.now)
         since = node.replica.epoch
         changes = []
@@ -321,20 +435,23 @@
         self.at(self.now + 0.1, self.follow, label)
 
     def round(self, label: str) -> None:
+        self.clock.owner = label
         self.clock("round", self.nodes[label].round, self.now)
         self.carry(label)
 
     def write(self, label: str) -> None:
-        node = self.nodes[label]
+        node, self.clock.owner = self.nodes[label], label
         batch = self.clock("records", node.next_batch, self.now)
         if batch is not None:
+            self.counts.store_changes += batch.changes
+            self.counts.transactions += 1
             self.clock(
                 "records", node.batch_done, batch, self.commit(batch.conditions, batch.puts, batch.drops), self.now
             )
             self.carry(label)
 
     def lead(self, label: str) -> None:
-        node = self.nodes[label]
+        node, self.clock.owner = self.nodes[label], label
         decision = self.clock("renting", node.leader.decide, self.now)
         for kind, count in decision.rent:
             got = min(count, self.size - len(self.workers))
@@ -344,35 +461,117 @@
                 node.leader.on_refused(kind, self.now)
 
 
+def measured(bench: Bench, seconds: float) -> dict:
+    """What was counted in that many simulated seconds, as plain numbers for a table."""
+    counts, spent = bench.counts, sum(bench.clock.spent.values())
+
+    def traffic(kinds: dict[str, Traffic]) -> dict[str, dict]:
+        return {kind: asdict(one) for kind, one in sorted(kinds.items())}
+
+    return {
+        "controllers": len(bench.labels),
+        "machines": bench.size,
+        "teams": len(bench.teams),
+        "load": bench.load,
+        "seconds": seconds,
+        "starts": counts.starts,
+        "starts_a_second": counts.starts / seconds,
+        "ms_a_start": spent / max(1, counts.starts) * 1000,
+        "cores": spent / seconds,
+        "leader_cores": bench.clock.by_controller[bench.labels[0]] / seconds,
+        "largest_other_cores": max(bench.clock.by_controller[label] for label in bench.labels[1:]) / seconds,
+        "store_changes_a_second": counts.store_changes / seconds,
+        "transactions_a_second": counts.transactions / seconds,
+        "reports_a_second": counts.reports / seconds,
+        "report_bytes": counts.worker_bytes_in / max(1, counts.reports),
+        "answer_bytes": counts.worker_bytes_out / max(1, counts.reports),
+        "asked": counts.asked,
+        "granted": counts.granted,
+        "used_share": statistics.fmean(counts.used_share),
+        "reachable_share": statistics.fmean(counts.reachable_share),
+        "waits_s": counts.waits_s,
+        "not_begun": len(bench.submitted_at),
+        "us_a_start": {part: one / max(1, counts.starts) * 1e6 for part, one in sorted(bench.clock.spent.items())},
+        "sent": traffic(counts.sent),
+        "leader_received": traffic(counts.leader_received),
+    }
+
+
+def play(machines: int, args: argparse.Namespace) -> Bench:
+    """One run, counted after its beginning."""
+    bench = Bench(machines, args.load, args.seed, args.profile, args.controllers, args.teams)
+    bench.play(WARM_UP_S)
+    bench.begin_to_count()
+    bench.play(WARM_UP_S + args.seconds)
+    return bench
+
+
+def print_table(results: list[tuple[Bench, dict]]) -> None:
+    """Processor time by part, and what it was spent on, a column for each size."""
+    print("processor time, us a start" + "".join(f"{bench.size:>9}" for bench, _ in results))
+    for part in sorted({part for _, result in results for part in result["us_a_start"]}):
+        print(f"{part:<26}" + "".join(f"{result['us_a_start'].get(part, 0.0):9.0f}" for _, result in results))
+    print(f"{'all':<26}" + "".join(f"{result['ms_a_start'] * 1000:9.0f}" for _, result in results))
+    for name, places in (
+        ("starts", 0),
+        ("starts_a_second", 0),
+        ("cores", 3),
+        ("leader_cores", 3),
+        ("largest_other_cores", 3),
+        ("store_changes_a_second", 0),
+        ("asked", 0),
+        ("granted", 0),
+        ("used_share", 3),
+        ("reachable_share", 3),
+    ):
+        print(f"{name:<26}" + "".join(f"{result[name]:9.{places}f}" for _, result in results))
+    kinds = sorted({kind for _, result in results for kind in result["sent"]})
+    for kind in kinds:
+        rates = [result["sent"].get(kind, {"bytes": 0})["bytes"] / result["seconds"] / 1024 for _, result in results]
+        print(f"{'sent, KiB/s: ' + kind:<26}" + "".join(f"{rate:9.1f}" for rate in rates))
+
+
+def number(least: int):
+    """An argument that is a whole number of at least that much."""
+
+    def parse(text: str) -> int:
+        value = int(text)
+        if value < least:
+            raise argparse.ArgumentTypeError(f"{text}: at least {least}")
+        return value
+
+    return parse
+
+
 def main() -> int:
+    """Play the sizes that the command line asks for."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--machines", type=int, nargs="+", default=[635])
+    parser.add_argument("--machines", type=number(10), nargs="+", default=[635])
+    parser.add_argument("--controllers", type=number(2), default=5)
+    parser.add_argument("--teams", type=number(1), default=4)
     parser.add_argument("--seconds", type=float, default=60.0, help="simulated seconds, after 20 to get going")
     parser.add_argument("--load", type=float, default=1.5, help="1: 11 starts a minute and machine; 1.5: a full fleet")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--profile", metavar="PART", help="where one part, or 'all', spends its time")
+    parser.add_argument(
+        "--grid", metavar="FILE", type=Path, help="play all points of bench_grid, results as JSON there"
+    )
+    parser.add_argument("--jobs", type=number(1), default=3, help="points of the grid at one time")
     args = parser.parse_args()
     logging.basicConfig(level=logging.ERROR)
+    if args.grid:
+        import bench_grid  # only here: it imports this module
+
+        return bench_grid.play_grid(args.grid, args.jobs, args.seconds)
     gc.freeze()  # as the program does
     gc.set_threshold(*c.GC_THRESHOLDS)
-    results = {}
+    results = []
     for size in args.machines:
-        bench = Bench(size, args.load, args.seed, args.profile)
-        bench.play(20.0)
-        bench.clock.spent.clear()
-        bench.clock.calls.clear()
-        bench.starts = 0
-        bench.play(20.0 + args.seconds)
-        results[size] = bench
-    parts = sorted({part for bench in results.values() for part in bench.clock.spent})
-    print("processor time, us a start" + "".join(f"{size:>9}" for size in results))
-    for part in parts:
-        print(f"{part:<26}" + "".join(f"{b.clock.spent[part] / b.starts * 1e6:9.0f}" for b in results.values()))
-    print(f"{'all':<26}" + "".join(f"{sum(b.clock.spent.values()) / b.starts * 1e6:9.0f}" for b in results.values()))
-    print(f"{'starts':<26}" + "".join(f"{b.starts:9d}" for b in results.values()))
-    print(f"{'cores':<26}" + "".join(f"{sum(b.clock.spent.values()) / args.seconds:9.3f}" for b in results.values()))
+        bench = play(size, args)
+        results.append((bench, measured(bench, args.seconds)))
+    print_table(results)
     if args.profile:
-        pstats.Stats(bench.clock.profiler).sort_stats("tottime").print_stats(30)
+        pstats.Stats(results[-1][0].clock.profiler).sort_stats("tottime").print_stats(30)
     return 0
 
 
--- a/tools/bench_urgent.py
+++ b/tools/bench_urgent.py
@@ -49,7 +49,7 @@
 
     def look(self, desk, now):
         promised, result = desk.promised(), []
-        for row in desk.queue_rows().values():
+        for row in desk.queue_rows(now).values():
             spec = desk.leader.replica.spec(row.job)
             if spec is not None and self.needs(spec) and row.offer > promised[row.job]:
                 result.append(Need(spec, row.offer - promised[row.job], 0.0, self.reason, row.zone))
