Queues: members tell changes in place of the whole, each fact to who uses it

Cause: cost of what members tell each other grew with members squared times (rows + teams). Change: package queues (publisher, home_queue, offer_book, teller), generation 6, as docs/design.md has it; the leader divides only teams that changed (allowances, out of Leader); the share of the store's changes is a module (shares, out of Node); Node.round in short steps; allowances of nothing are not kept.

--- a/alderbridge/claims/desk.py
+++ b/alderbridge/claims/desk.py
@@ -84,8 +84,9 @@
             if self.ledger.claim_of(row.machine) is not None:
                 self.rows[row.machine] = row
 
-    def queue_rows(self) -> dict[str, QueueRow]:
-        return {row.job: row for queue, _ in self.leader.queues.values() for row in queue.rows}
+    def queue_rows(self, now: float) -> dict[str, QueueRow]:
+        """The rows of all homes' queues, by job, with their times as they stand."""
+        return {row.job: row for queue in self.leader.queues.values() for row in queue.aged_rows(now)}
 
     def promised(self) -> Counter[str]:
         """Tasks of each job that claims make room for; a moment too many when some already run there."""
@@ -192,7 +193,7 @@
     def _tidy(self, now: float, wall: float, sources: Sequence[Source]) -> None:
         ledger, replica = self.ledger, self.leader.replica
         rooms = {row.machine: row for room, _ in self.leader.rooms.values() for row in room.rows}
-        waiting = Counter({job: row.waiting + row.inherited for job, row in self.queue_rows().items()})
+        waiting = Counter({job: row.waiting + row.inherited for job, row in self.queue_rows(now).items()})
         reasons = {source.reason for source in sources}
         for machine, claim in ledger.all().items():
             left = self.victims_left(machine, claim)
--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -17,7 +17,8 @@
 RECOVERY = 3  # generation from which on a home understands what a part carries over from the view before
 CONTACT = 5  # generation from which on members tell whom they hear, stop when no majority does, and know loose views
 DECLARED = 4  # generation from which on declarations and claims are kept
-GENERATION = 5  # of this program
+QUEUE_CHANGES = 6  # generation from which on members tell changes of their queues in place of the whole
+GENERATION = 6  # of this program
 CONTACT_TTL_S = 8.0  # s; out of contact for this long, a member is replaced: its workers' leases outlast that
 CONTACT_LEAST = 3  # members; of two, one that the other does not hear would have to stop, too
 CONTACT_NOTICE_S = 1.0  # s; so long before it is given up a silent member is spoken of: the others then agree at once
@@ -43,6 +44,12 @@
 LENT_S = 3.0  # s; what a member does not use of its share of changes is lent so long after it was told
 MARK_AHEAD = 256  # tasks; written as possibly started with the job, saves a write per start
 QUEUE_ROWS = 400  # jobs; waiting jobs one home tells of in a round
+QUEUE_EXACT = 32  # tasks; counts up to this are told with every change: a machine takes about as many at one time
+QUEUE_SHARE = 8  # larger counts are told at once when they change by one part in so many, else after a second
+QUEUE_TIME_S = 0.5  # s; a due time or run time that moves by more than this is news: below what placement tells apart
+QUEUE_REFRESH_S = 60.0  # s; a row is told again after this, as clocks drift apart: by 0.03 s until then
+QUEUE_GONE = 2000  # jobs; who does not know of so many ends is told the whole queue in place of them
+QUEUE_BACKLOG = 32  # messages; a member that has not acknowledged so many is told no more until it has
 
 TAKE_WAIT_S = 0.1  # s; a report's answer waits this long for grants it has asked for: a peer takes a few ms
 
--- a/alderbridge/controller.py
+++ b/alderbridge/controller.py
@@ -328,7 +328,7 @@
             except (*_TROUBLE, HoldLost) as error:
                 self.node.batch_failed(batch, now())
                 if isinstance(error, TooFast):
-                    self.node.write_budget.spend(now(), max(0.0, self.node.write_budget.available(now())))
+                    self.node.store_share.budget.spend(now(), max(0.0, self.node.store_share.budget.available(now())))
                 else:
                     self.store_trouble()
                     if isinstance(error, Refused):
--- a/alderbridge/jobs.py
+++ b/alderbridge/jobs.py
@@ -545,8 +545,10 @@
                 result.teams[team] = (cpus + waiting[0], gpus + waiting[1])
         return result.teams
 
-    def allot(self, teams: dict[str, tuple[float, float]]) -> None:
-        self.usage.allowed = dict(teams)
+    def allot(self, teams: dict[str, tuple[float, float]], whole: bool = True) -> None:
+        """An allowance of the leader: of all teams, or of those for which it differs from the last."""
+        allowed = teams if whole else self.usage.allowed | teams
+        self.usage.allowed = {team: amounts for team, amounts in allowed.items() if amounts != (0.0, 0.0)}
         self.allots += 1
 
     # -- queue and grants --------------------------------------------------
--- a/alderbridge/leader.py
+++ b/alderbridge/leader.py
@@ -20,9 +20,11 @@
 
 from . import constants as c
 from . import placement, policy
+from .allowances import Allowances
 from .config import Team, Tuning
-from .mesh import Queue, QueueRow, Room, RoomRow
-from .policy import Demand, Kind, Market, Need, Resource
+from .mesh import Queue, QueueChanges, QueueRow, Room, RoomRow, TeamChanges
+from .policy import Demand, Kind, Market, Resource
+from .queues import HomeQueues
 from .recovery import HoldBack, Knowledge
 from .replica import Replica
 from .wire import JobSpec, Listed, MachineType
@@ -66,6 +68,7 @@
         self.market = Market({}, zones, tuning.bid_share)
         self.rentals: dict[str, Rental] = {}
         self.hold_back = HoldBack(lease_s)
+        self.allowances = Allowances(self.teams, replica.spec)
         self.for_proof: set[str] = set()  # silent machines whose return frees what waits for them
         # waiting tasks that lending serves, or has yet to look at: no machine is rented for them
         self.lent: Callable[[QueueRow, JobSpec], int] = lambda row, spec: 0
@@ -75,10 +78,9 @@
     def enter(self, members: list[str], now: float) -> None:
         self.members = members
         self.since = now
-        self.queues: dict[str, tuple[Queue, float]] = {}
+        self.queues = HomeQueues()
         self.rooms: dict[str, tuple[Room, float]] = {}
-        self.given: dict[str, dict[str, tuple[float, float]]] = {label: {} for label in members}
-        self.sent: dict[str, int] = dict.fromkeys(members, 0)
+        self.allowances.enter(members)
         self.hard_at = now
         self.listed = False
         self.listings = 0  # under this view
@@ -88,11 +90,27 @@
     # -- news ----------------------------------------------------------------
 
     def on_queue(self, label: str, queue: Queue, now: float) -> None:
-        if label in self.given:
-            self.queues[label] = (queue, now)
+        """The whole queue of a home that tells no changes."""
+        if label in self.members and self.queues.of(label).take_queue(queue, now):
+            self.queues.arrived(label)
+            self.allowances.changed.update(self.allowances.teams)
+
+    def on_queue_changes(self, label: str, changes: QueueChanges, now: float) -> None:
+        """Rows of a home's queue that are news."""
+        if label in self.members:
+            self.queues.of(label).take_rows(changes, now)
+            self.queues.arrived(label)
+            self.allowances.rows_changed([*(row.job for row in changes.rows), *changes.gone])
+
+    def on_team_changes(self, label: str, changes: TeamChanges) -> None:
+        """Sums of a home's teams that are news."""
+        if label in self.members:
+            self.queues.of(label).take_sums(changes)
+            self.queues.arrived(label)
+            self.allowances.sums_changed(changes.teams)
 
     def on_room(self, label: str, room: Room, now: float) -> None:
-        if label not in self.given:
+        if label not in self.members:
             return
         self.rooms[label] = (room, now)
         for row in room.rows:
@@ -156,13 +174,13 @@
         allowance kept for another that could not use it, and where all were late neither ever began.
         """
         waiting, kinds = [], self._kinds_in_reach(now)
-        for queue, at in self.queues.values():
-            for row in queue.rows:
+        for queue in self.queues.values():
+            for row in queue.aged_rows(now):
                 spec = self.replica.spec(row.job)
                 if spec is not None:
                     count = max(0, row.waiting - self.lent(row, spec))
                     count += row.inherited if self.hold_back.counts_inherited else 0
-                    demand = Demand(spec, count, row.due_in_s - (now - at), row.run_s, row.zone)
+                    demand = Demand(spec, count, row.due_in_s, row.run_s, row.zone)
                     waiting.append((self._order(row, spec, kinds), demand))
         waiting.sort(key=lambda entry: entry[0])
         result = self._within_limits([demand for _, demand in waiting])
@@ -198,7 +216,7 @@
         """A team's tasks beyond its limit cannot run at once: they ask for nothing."""
         limits = {team.name: team.cpus_max for team in self.teams if team.cpus_max > 0}
         left = dict(limits)
-        for queue, _ in self.queues.values():
+        for queue in self.queues.values():
             for team, (want, _) in queue.want.items():
                 if team in left:
                     left[team] -= want
@@ -284,7 +302,7 @@
         before = self.hold_back.knowledge
         unheard = [(name, row.silent_s + now - at) for name, (row, at) in rows.items() if row.state == "expected"]
         silent = sum(silence > c.SILENT_S for _, silence in unheard)
-        inherited = sum(row.inherited for queue, _ in self.queues.values() for row in queue.rows)
+        inherited = sum(row.inherited for queue in self.queues.values() for row in queue.rows)
         knowledge = self.hold_back.look(len(unheard) - silent, len(rows), inherited, now)
         self.for_proof = set(self.hold_back.for_proof(unheard, len(rows), inherited))
         if knowledge is not before or (knowledge is not Knowledge.SQUARED and now - self.told_at >= c.LEADER_ROUND_S):
@@ -366,46 +384,11 @@
             log.info("machine=%s state=leaving cause=%s", name, cause)
         decision.drain.append(name)
 
-    def _needs(self) -> dict[str, tuple[list[Need], list[Need]]]:
-        """Per team, what waits where (cpus, gpus), in the order of placement.
+    def allots(self, now: float) -> dict[str, dict[str, tuple[float, float]]]:
+        """New allowances by home, of the teams for which they differ."""
 
-        For a job of which nothing ran for long, room is kept until it holds a task: smaller ones would take it all.
-        """
-        waiting, kinds = [], self._kinds_in_reach(max((at for _, at in self.queues.values()), default=0.0))
-        for label in self.members:
-            for row in self.queues[label][0].rows:
-                spec = self.replica.spec(row.job)
-                if spec is not None and row.waited_s >= 0:  # before its turn after an opening it takes no allowance
-                    kept = row.waited_s >= c.BEGIN_TURN_S and row.waiting == spec.tasks
-                    waiting.append((self._order(row, spec, kinds), label, row.waiting, spec, kept))
-        needs: dict[str, tuple[list[Need], list[Need]]] = {team.name: ([], []) for team in self.teams}
-        for _, label, count, spec, kept in sorted(waiting, key=lambda entry: entry[:2]):
-            if spec.team in needs:
-                needs[spec.team][0].append(Need(label, count * spec.cpus, spec.cpus, kept))
-                needs[spec.team][1].append(Need(label, count * spec.gpus, spec.gpus, kept))
-        return needs
-
-    def allots(self) -> dict[str, dict[str, tuple[float, float]]]:
-        """New allowances; each home gets its next one only after it confirmed the last."""
-        if not self.teams or any(label not in self.queues for label in self.members):
-            return {}
-        if any(self.queues[label][0].allots != self.sent[label] for label in self.members):
-            return {}
-        needs = self._needs()
-        fresh: dict[str, dict[str, tuple[float, float]]] = {label: {} for label in self.members}
-        for team in self.teams:
-            for part, limit in enumerate((team.cpus_max, team.gpus_max)):
-                none = (0.0, 0.0)
-                used = {m: self.queues[m][0].used.get(team.name, none)[part] for m in self.members}
-                held = {m: self.queues[m][0].held.get(team.name, none)[part] for m in self.members}
-                given = {m: self.given[m].get(team.name, none)[part] for m in self.members}
-                shares = policy.divide(limit, used, held, given, needs[team.name][part]) if limit > 0 else given
-                for label in self.members:
-                    old = fresh[label].get(team.name, none)
-                    share = shares.get(label, 0.0)
-                    fresh[label][team.name] = (share, old[1]) if part == 0 else (old[0], share)
-        changed = {label: teams for label, teams in fresh.items() if teams != self.given[label]}
-        for label, teams in changed.items():
-            self.given[label] = teams
-            self.sent[label] += 1
-        return changed
+        def order() -> Callable[[QueueRow, JobSpec], tuple]:
+            kinds = self._kinds_in_reach(now)
+            return lambda row, spec: self._order(row, spec, kinds)
+
+        return self.allowances.next(now, self.queues, order)
--- a/alderbridge/lending/lender.py
+++ b/alderbridge/lending/lender.py
@@ -238,8 +238,9 @@
                 sites[row.machine] = Site(frozenset(row.images), replicas)
         self.see(sites, {name: kinds[name].zone for name in sites})
 
-    def services(self, desk: Desk) -> list[Service]:
-        rows, result = desk.queue_rows(), []
+    def services(self, desk: Desk, now: float) -> list[Service]:
+        """The services that lending serves, as their rows and records stand."""
+        rows, result = desk.queue_rows(now), []
         for job, (record, _) in desk.leader.replica.active.items():
             spec = record.spec
             if record.state is JobState.ACTIVE and spec is not None and self.serves(spec) and not spec.needs:
@@ -269,7 +270,7 @@
             self.stopping[claim.team] += sum(
                 spec.gpus for job, _, _ in claim.victims[gone:] if (spec := self.specs[job]) is not None
             )
-        services = self.services(desk)
+        services = self.services(desk, now)
         self.used = self.use(services)
         self.peaks.see(self.wish(services), now)
         self.lent = Counter(
@@ -279,7 +280,7 @@
             self.since = {}
             return []
         used: Counter[tuple[str, int]] = Counter()
-        for queue, _ in leader.queues.values():
+        for queue in leader.queues.values():
             for team, amounts in queue.used.items():
                 used[team, 0] += amounts[0]
                 used[team, 1] += amounts[1]
--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -64,6 +64,44 @@
     changes: int = -1  # of the store, that it made in a second lately; -1: it may make all of its share
 
 
+class QueueChanges(Message):
+    """Rows of a home's queue that are news, in order after the ones before. Only among members of generation 6."""
+
+    rows: list[QueueRow]  # with their times as they stand when told
+    gone: list[str]  # jobs that have no row any more
+    whole: bool  # all rows: what was told before is void
+
+
+class TeamSums(msgspec.Struct, array_like=True, frozen=True):
+    """One team's sums at one home; each is cpus, gpus."""
+
+    used: tuple[float, float]
+    held: tuple[float, float]  # the larger of what is used and what is allowed
+    want: tuple[float, float]
+
+
+class TeamChanges(Message):
+    """A home's sums that differ from what the leader was told. Only among members of generation 6."""
+
+    teams: dict[str, TeamSums]  # nothing but zeros: the team has none any more
+    allots: int  # allowances received under this mandate, on which these sums rest
+    whole: bool  # all teams: what was told before is void
+
+
+class Status(Message):
+    """What each member needs to know of another in each round. Only among members of generation 6."""
+
+    silent: list[str]  # members that the sender does not hear
+    given_up: list[str]  # of these, those that it hears no more under this mandate, whatever comes
+    changes: int  # of the store, that it made in a second lately
+
+
+class AllotChanges(Message):
+    """Allowances of one home that differ from the ones before. Only among members of generation 6."""
+
+    teams: dict[str, tuple[float, float]]
+
+
 class RoomRow(msgspec.Struct, array_like=True, frozen=True):
     """One machine as its part sees it."""
 
@@ -198,7 +236,26 @@
 
 
 Body = (
-    Pulse | Queue | Room | Take | Grant | Seen | Clear | Halt | Allot | Drain | Gone | Show | Tasks | Keep | Ask | Reply
+    Pulse
+    | Queue
+    | QueueChanges
+    | TeamChanges
+    | Status
+    | AllotChanges
+    | Room
+    | Take
+    | Grant
+    | Seen
+    | Clear
+    | Halt
+    | Allot
+    | Drain
+    | Gone
+    | Show
+    | Tasks
+    | Keep
+    | Ask
+    | Reply
 )
 
 
@@ -321,6 +378,10 @@
         self.progress_at = now
         return [self._frame(seq, body) for seq, body, _ in self.unacked]
 
+    def backlog(self) -> int:
+        """How many messages have no acknowledgement yet."""
+        return len(self.unacked)
+
     def quiet(self, now: float) -> bool:
         """Nothing sent lately whose acknowledgement would show that the connection is whole."""
         return now - self.posted_at >= c.MESH_PROBE_S
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -12,7 +12,6 @@
 import hashlib
 import itertools
 import logging
-import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -35,8 +34,9 @@
 from .jobs import Home, Job, JobState, Record
 from .leader import Leader
 from .machines import Machine, Part
-from .net import Budget
+from .queues import OfferBook, Round, Snapshot, Teller
 from .replica import Replica, list_keys
+from .shares import StoreShare
 from .store import JOBS, LISTS, MACHINES, MEMBERS, VIEW
 from .urgency import Rules, Text
 from .view import Membership, Standing, View
@@ -153,7 +153,8 @@
         self.incarnation = 0  # the permit under which home and part were last built
         self.inside = False  # home, part and channels were built for the view as of one of its members
         self.types: dict[str, wire.MachineType] = {}
-        self.offers = placement.Offers()
+        self.offer_book = OfferBook(self.spec_of)
+        self.offers = self.offer_book.offers
         self.submissions: dict[str, Submission] = {}
         self.dropping: list[str] = []  # machines whose records go
         self.claims_wait = False  # the last transaction of claims failed: what else is due goes first, once
@@ -164,16 +165,14 @@
         self.hours: Gate | None = None  # None: nothing is declared
         self.most_changes = self.limits.txn_ops  # in one transaction; less once the store has refused that many
         self.fresh = False  # a submission has come since the last look for what to write
-        share = self.limits.write_rps * c.BUDGET_SHARE / len(self.labels)  # until a view says who else writes
-        self.write_share, self.write_budget = share, Budget(share, share, now)
-        self.short = False  # what users wait for was more than the budget allowed, since this was last told
-        self.changes, self.changes_at, self.changes_told = 0, now, 0  # made since then, and told then
+        # Until a view says who else writes, all controllers share what the store takes.
+        self.store_share = StoreShare(self.limits.write_rps * c.BUDGET_SHARE, len(self.labels), now)
         self.room_at = 0.0
         self.guaranteed_at, self.guaranteed_jobs = float("-inf"), set()
         self.entered_at = now  # when the view arrived here
         # left for the controller
         self.outgoing: list[tuple[str, m.Frame]] = []
-        self.told: dict[str, tuple[m.Queue, float, int]] = {}  # peer -> last queue told, when, what it acknowledged
+        self.teller = Teller(self.me)
         self.renewals: list[str] = []  # peers to be connected anew
         self.questions: deque[tuple[str, m.Ask]] = deque()
         self.replies: deque[m.Reply] = deque()
@@ -316,7 +315,7 @@
         contact.avoided.discard(frame.sender)
         if frame.incarnation and frame.incarnation == self.membership.view.members.get(frame.sender):
             contact.hear(frame.sender, acked_at, now)
-            if isinstance(frame.body, m.Queue):
+            if isinstance(frame.body, m.Queue | m.Status):
                 contact.told(frame.sender, frame.body.silent, frame.body.given_up)
 
     def pump(self) -> None:
@@ -334,27 +333,27 @@
                 self.part.on_clear(body.machine, body.job, body.index, body.attempt)
             case m.Take():
                 self.home.on_take(label, body, self.now, self.may_act())
+                self.teller.publisher.tell_again(label, body.job)
             case m.Grant():
                 machine = self.part.on_grant(label, body, self.now)
                 if machine is not None and not machine.reserved:
                     self.news.append(machine)
             case m.Queue():
-                specs = [(row, self.spec_of(row.job)) for row in body.rows if row.offer > 0]
-                self.offers.tell(
-                    label,
-                    [
-                        placement.Offer(label, row, spec, self.now, c.GATHER_S)
-                        for row, spec in specs
-                        if spec is not None
-                    ],
-                )
-                self.leader.on_queue(label, body, self.now)
+                self.on_queue(label, body)
+            case m.QueueChanges():
+                self.on_queue_changes(label, body)
+            case m.TeamChanges():
+                self.leader.on_team_changes(label, body)
+            case m.Status():
+                self.store_share.peer_told(label, body.changes, self.now)
             case m.Room():
                 self.leader.on_room(label, body, self.now)
             case m.Halt():
                 self.part.on_halt(body)
             case m.Allot():
                 self.home.allot(body.teams)
+            case m.AllotChanges():
+                self.home.allot(body.teams, whole=False)
             case m.Drain():
                 self.part.drain(body.machines)
             case m.Gone():
@@ -381,6 +380,19 @@
             case _:
                 pass
 
+    def on_queue(self, label: str, queue: m.Queue) -> None:
+        """The whole queue of a home that tells no changes."""
+        self.offer_book.take_queue(label, queue, self.now)
+        self.leader.on_queue(label, queue, self.now)
+        if label != self.me:
+            self.store_share.peer_told(label, queue.changes, self.now)
+
+    def on_queue_changes(self, label: str, changes: m.QueueChanges) -> None:
+        """Rows of a home's queue that are news."""
+        self.offer_book.take_changes(label, changes, self.now)
+        if self.membership.view.leader == self.me:
+            self.leader.on_queue_changes(label, changes, self.now)
+
     # -- view ------------------------------------------------------------------
 
     def held(self, permit: int, sent_at: float, now: float) -> None:
@@ -479,8 +491,8 @@
             channel.reset(mandate, now, self.membership.hold.permit if inside else 0)
         self.inbox.clear()
         self.later.clear()
-        self.told.clear()
-        self.offers.clear()
+        self.teller.enter()
+        self.offer_book.clear()
         continued = inside and self.loaded and self.incarnation == self.membership.hold.permit
         old = self.home.jobs if continued else {}
         self.incarnation = self.membership.hold.permit if inside else 0
@@ -513,10 +525,7 @@
             mandate, members if inside else [], mine, now, continued, continued and self.membership.all_run(c.RECOVERY)
         )
         self.leader.enter(members, now)
-        # Only members write. Divided by all controllers of the settings, four fifths of the store's changes lay unused
-        # while the one that was left made the users of a stream of small jobs wait for half a minute.
-        self.write_share = self.limits.write_rps * c.BUDGET_SHARE / max(1, len(members))
-        self.write_budget.change(self.write_share, self.write_share, now)
+        self.store_share.enter(len(members), now)
         self.ledger.enter()
         self.desk.enter(members)
         self.dropping = [name for name in self.dropping if name in self.part.returned]
@@ -576,8 +585,9 @@
             return None
         # Users wait for submissions and ends: these may run ahead of an equal share of the changes. The store
         # allows bursts of a second's worth, and what is not urgent pays it back.
-        available = self.write_budget.available(now)
-        room = min(self.most_changes, int(available + c.AHEAD_SHARE * self.write_budget.burst))
+        budget = self.store_share.budget
+        available = budget.available(now)
+        room = min(self.most_changes, int(available + c.AHEAD_SHARE * budget.burst))
         plain = min(room, int(max(0.0, available)))
         self.fresh = False
         if room < 1:
@@ -591,7 +601,7 @@
             if batch.claims is not None:
                 batch.conditions |= batch.claims.conditions
                 batch.puts, batch.drops = batch.claims.puts, batch.claims.drops
-                self._spend(batch)
+                self.store_share.spend(batch.changes, self.now)
                 return batch
         if drops := self.part.drops_due(now):
             self.dropping = list(dict.fromkeys(self.dropping + drops))
@@ -599,7 +609,7 @@
         due = sorted(self.home.due_writes(now), key=lambda entry: entry[0])
         queue: list[Job | Submission] = [job for rank, job in due if rank < 2.0]
         if len(queue) + len(self.submissions) > room:
-            self.short = True
+            self.store_share.short = True
             # Who has waited longest goes first. Ends before all submissions had users wait for as long as ends alone
             # took all the changes; and small jobs end as fast as they are taken.
             waited = [(job.changed_at if job.changed_at is not None else now, job) for job in queue]
@@ -615,7 +625,7 @@
         ):
             batch.proposal, batch.puts, batch.drops = proposal, proposal.puts, proposal.drops
             batch.conditions |= proposal.conditions
-            self._spend(batch)
+            self.store_share.spend(batch.changes, self.now)
             return batch
         for name in [name for name in self.part.to_record if name not in self.dropping][:plain]:
             batch.machines.append(name)
@@ -669,36 +679,9 @@
             del self.dropping_lists[:count]
         if not batch.changes:
             return None
-        self._spend(batch)
+        self.store_share.spend(batch.changes, self.now)
         return batch
 
-    def _spend(self, batch: Batch) -> None:
-        self.write_budget.spend(self.now, batch.changes)
-        self.changes += batch.changes
-
-    def share_changes(self, now: float) -> None:
-        """What this member makes of its share of changes, and what it may make of the others'.
-
-        Users may all be at one controller, whose equal share is a fifth of what the store takes: a stream of small jobs
-        waited there for half a minute, while four fifths lay unused. Who lends has its own share at once; should
-        all be more than the store takes for a moment, it says so, and the same goes a little later.
-        """
-        # At once when users wait: who takes what is lent says so, and lends nothing itself, from the same round on.
-        if now - self.changes_at >= c.LEADER_ROUND_S or (self.short and self.changes_told < self.write_share):
-            made = math.ceil(self.changes / max(c.ROUND_S, now - self.changes_at))
-            self.changes_told = max(made, math.ceil(self.write_share)) if self.short else made
-            self.changes, self.changes_at, self.short = 0, now, False
-        if self.changes_told < self.write_share:
-            self.write_budget.change(self.write_share, self.write_share, now)
-            return
-        lent, takers = 0.0, 1
-        for label in self.membership.view.members:
-            queue, at = self.leader.queues.get(label, (None, now))
-            if label != self.me and queue is not None and queue.changes >= 0 and now - at < c.LENT_S:
-                lent += max(0.0, self.write_share - queue.changes)
-                takers += queue.changes >= self.write_share
-        self.write_budget.change(self.write_share + lent / takers, self.write_share, now)
-
     def nothing_to_write(self) -> bool:
         """Whether nothing has come since the last look that found nothing, or nothing affordable, to write."""
         return not (
@@ -713,7 +696,7 @@
 
     def next_write_in(self, now: float) -> float:
         """How long a look for what to write can wait, in seconds, if nothing comes."""
-        budget = self.write_budget
+        budget = self.store_share.budget
         available = budget.available(now)
         ahead = available + c.AHEAD_SHARE * budget.burst
         pause = min(c.ROUND_S, self.home.due_at - now)
@@ -994,7 +977,7 @@
             return True
 
         for want in placement.fill(
-            candidate, self.offers, lambda spec: self.part.fetch_s(machine, spec), room_elsewhere, keep
+            candidate, self.offers, lambda spec: self.part.fetch_s(machine, spec), room_elsewhere, keep, now
         ):
             take = self.part.reserve(machine, want.job, want.count)
             self.send(want.home, m.Take(take, want.job, want.machine, want.zone, want.count))
@@ -1056,7 +1039,7 @@
 
         def teams() -> Teams:
             used: dict[str, tuple[float, float]] = {}
-            for queue, _ in self.leader.queues.values():
+            for queue in self.leader.queues.values():
                 for team, (cpus, gpus) in queue.used.items():
                     have = used.get(team, (0.0, 0.0))
                     used[team] = (have[0] + cpus, have[1] + gpus)
@@ -1076,8 +1059,8 @@
     # -- rounds ----------------------------------------------------------------------
 
     def round(self, now: float) -> None:
+        """What is due every fifth of a second."""
         self.now = now
-        members = self.membership.view.members
         self.part.listen(now, self.may_act())
         self.follow_hours()
         for label in list(self.later):
@@ -1086,67 +1069,89 @@
             for label in self.channels:
                 self.tell(label, m.Pulse())
             return
-        mandate, contact = self.membership.mandate, self.membership.contact
-        contact.look(now)
-        everyone = all(self.channels[label].peer_mandate >= mandate for label in members if label != self.me)
+        self.membership.contact.look(now)
+        self.look_at_view(now)
+        self.look_at_machines(now)
+        self.store_share.look(now)
+        self.tell_queue(now, self.look_at_queue(now))
+        self.keep_channels(now)
+        if now - self.room_at >= c.LEADER_ROUND_S:
+            self.room_at = now
+            self.tell_room(now)
+        if self.membership.leads(now):
+            self.tell_allowances(now)
+            self.look_at_claims(now)
+        self.pump()
+
+    def look_at_view(self, now: float) -> None:
+        """Whether every member is known to act under this view, or not at all."""
+        mandate = self.membership.mandate
+        others = [label for label in self.membership.view.members if label != self.me]
+        everyone = all(self.channels[label].peer_mandate >= mandate for label in others)
         if everyone or now > self.entered_at + self.membership.hold.ttl_s + c.PROOF_MARGIN_S:
             self.part.settle(now)
             if not self.home.settled:
                 self.home.settle()
+
+    def look_at_machines(self, now: float) -> None:
+        """Leases that have lapsed; what is known of room and offers may have changed."""
         self.part.newest_until = self.membership.asked_at
         if self.may_act():
             self.part.check_leases(now)
         self.busy = None
+        self.offer_book.look()
+
+    def look_at_queue(self, now: float) -> Snapshot:
+        """This home's queue and sums as they stand."""
         used = self.home.used(now)
         if now - self.guaranteed_at >= c.GUARANTEE_S:
             self.guaranteed_at, self.guaranteed_jobs = now, self.guaranteed()
         rows = self.home.rows(now, self.due_in, self.run_time, self.rank, self.guaranteed_jobs, used)
         if self.hours is not None and self.may_act():
             self.home.stop_closed()
-        self.share_changes(now)
-        queue = m.Queue(
-            rows,
-            used,
-            self.home.held(used),
-            self.home.want(used),
-            self.home.allots,
-            contact.missing(),
-            contact.dropped(),
-            self.changes_told,
-        )
-        for label in self.labels:
+        return Snapshot(rows, used, self.home.held(used), self.home.want(used), self.home.allots)
+
+    def tell_queue(self, now: float, snapshot: Snapshot) -> None:
+        """The members are told of the queue, and whoever is none that this process is there."""
+        membership, contact = self.membership, self.membership.contact
+        members = membership.view.members
+        links = {label: channel for label, channel in self.channels.items() if label in members}
+        status = m.Status(contact.missing(), contact.dropped(), self.store_share.told)
+        one = Round(now, membership.mandate, membership.view.leader, links, snapshot, status)
+        for told in self.teller.tell(one, membership.all_run(c.QUEUE_CHANGES)):
+            if told.numbered:
+                self.send(told.label, told.message)
+            else:
+                self.tell(told.label, told.message)
+        for label in self.channels:
             if label not in members:
                 self.tell(label, m.Pulse())
-            elif label == self.me or self.queue_is_news(label, queue, now):
-                self.tell(label, queue)
+
+    def keep_channels(self, now: float) -> None:
+        """Probe what is quiet, send again what has no acknowledgement, and connect anew what stalls."""
         for label, channel in self.channels.items():
-            if label in members and channel.quiet(now):
+            if label in self.membership.view.members and channel.quiet(now):
                 self.send(label, m.Pulse())
             if channel.stalled(now):
                 self.renewals.append(label)
             self.outgoing += [(label, frame) for frame in channel.resend(now)]
-        if now - self.room_at >= c.LEADER_ROUND_S:
-            self.room_at = now
-            self.part.check_silence(now)
-            self.tell(self.membership.view.leader, m.Room(self.part.room(now, self.run_time)))
-            if self.ledger.entries and self.membership.all_run(c.DECLARED):
-                self.tell(
-                    self.membership.view.leader, m.Tasks(self.part.task_rows(now, self.ledger.entries, None), False)
-                )
-        if self.membership.leads(now):
-            for label, teams in self.leader.allots().items():
-                self.send(label, m.Allot(teams))
-            self.look_at_claims(now)
-        self.pump()
 
-    def queue_is_news(self, label: str, queue: m.Queue, now: float) -> bool:
-        """An empty queue is told again only now and then, or with an acknowledgement that the peer waits for."""
-        last, at, received = self.told.get(label, (None, 0.0, 0))
-        channel = self.channels[label]
-        if last == queue and not queue.rows and received == channel.received and now - at < c.MESH_PROBE_S:
-            return False
-        self.told[label] = (queue, now, channel.received)
-        return True
+    def tell_room(self, now: float) -> None:
+        """The leader is told of this part's machines, once a second."""
+        leader = self.membership.view.leader
+        self.part.check_silence(now)
+        self.tell(leader, m.Room(self.part.room(now, self.run_time)))
+        if self.ledger.entries and self.membership.all_run(c.DECLARED):
+            self.tell(leader, m.Tasks(self.part.task_rows(now, self.ledger.entries, None), False))
+
+    def tell_allowances(self, now: float) -> None:
+        """New allowances, in the form that all members read."""
+        by_changes = self.membership.all_run(c.QUEUE_CHANGES)
+        for label, teams in self.leader.allots(now).items():
+            if by_changes:
+                self.send(label, m.AllotChanges(teams))
+            else:
+                self.send(label, m.Allot(dict(self.leader.allowances.given[label])))
 
     def guaranteed(self) -> set[str]:
         """Jobs that fit their team's guarantee along with the team's earlier unfinished jobs, on any home."""
--- a/alderbridge/placement.py
+++ b/alderbridge/placement.py
@@ -10,9 +10,11 @@
 
 from __future__ import annotations
 
+import bisect
 import heapq
 import itertools
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
@@ -23,6 +25,7 @@
 
 Room = tuple[float, float, float]  # cpus, memory, gpus
 _GUARANTEED = len(PRIORITIES)  # ranks above the highest priority
+TURN_AHEAD_S = 1e9  # s; so far before all dates stands what has a turn, in the order of its arrival
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -113,43 +116,75 @@
 class Offer:
     """Tasks of one job that its home would grant now; ``left`` falls as they are asked for."""
 
-    __slots__ = ("key", "label", "row", "spec", "left", "young_until", "patient")
+    __slots__ = ("key", "label", "row", "spec", "left", "young_until", "patient_until")
 
     def __init__(self, label: str, row: QueueRow, spec: JobSpec, now: float, gather_s: float) -> None:
-        self.key = order(row, spec, now + row.due_in_s)  # by the clock: it holds while time passes
+        late, rank, due = order(row, spec, now + row.due_in_s)  # by the clock: it holds while time passes
+        self.key = (late, rank, now + due - TURN_AHEAD_S) if row.turn else (late, rank, due)
         self.label, self.row, self.spec, self.left = label, row, spec, row.offer
         self.young_until = now - row.waited_s + gather_s
-        self.patient = row.waited_s < c.KEEP_S  # no room is kept for it yet
+        self.patient_until = now - row.waited_s + c.KEEP_S  # no room is kept for it before
 
 
-Entry = tuple[bool, int, float, str, int, Offer]  # its key, its home, its place there: no two are alike
+Entry = tuple[bool, int, float, str, str, Offer]  # its key, its home, its job: no two are alike
 
 
 class Offers:
     """What all homes offer, in the order of placement."""
 
     def __init__(self) -> None:
-        self.by_home: dict[str, list[Entry]] = {}
-        self.least: dict[str, float] = {}  # cpus of a home's smallest task
-        self.merged: list[Entry] | None = []
-        self.least_cpus = math.inf
+        """Nothing is offered."""
+        self.by_home: dict[str, dict[str, Entry]] = {}
+        self.merged: list[Entry] | None = []  # of all homes, in order; None: to be put together anew
+        self.sizes: Counter[float] = Counter()  # cpus of a task -> offers
+        self.least_cpus = math.inf  # of the smallest task
 
     def clear(self) -> None:
+        """A new view: nothing that was offered counts."""
         self.by_home.clear()
-        self.least.clear()
+        self.sizes.clear()
         self.least_cpus = math.inf
         self.merged = None
 
-    def tell(self, label: str, offers: list[Offer]) -> None:
+    def tell(self, label: str, offers: Iterable[Offer]) -> None:
         """All that a home offers now, in place of what it told before."""
-        self.by_home[label] = sorted([(*offer.key, label, number, offer) for number, offer in enumerate(offers)])
-        self.least[label] = min([offer.spec.cpus for offer in offers], default=math.inf)
-        self.least_cpus = min(self.least.values())
+        for entry in self.by_home.get(label, {}).values():
+            self.sizes[entry[-1].spec.cpus] -= 1
+        self.by_home[label] = {offer.row.job: (*offer.key, label, offer.row.job, offer) for offer in offers}
+        self.sizes.update(entry[-1].spec.cpus for entry in self.by_home[label].values())
         self.merged = None
+        self._find_least()
+
+    def change(self, label: str, offers: Iterable[Offer], gone: Iterable[str]) -> None:
+        """What a home offers anew or otherwise, and what it offers no more."""
+        known = self.by_home.setdefault(label, {})
+        for job in gone:
+            self._remove(known, job)
+        for offer in offers:
+            self._remove(known, offer.row.job)
+            entry = known[offer.row.job] = (*offer.key, label, offer.row.job, offer)
+            self.sizes[offer.spec.cpus] += 1
+            if self.merged is not None:
+                bisect.insort(self.merged, entry)
+        self._find_least()
+
+    def _remove(self, known: dict[str, Entry], job: str) -> None:
+        entry = known.pop(job, None)
+        if entry is None:
+            return
+        self.sizes[entry[-1].spec.cpus] -= 1
+        if self.merged is not None:
+            del self.merged[bisect.bisect_left(self.merged, entry)]
+
+    def _find_least(self) -> None:
+        for cpus in [cpus for cpus, count in self.sizes.items() if not count]:
+            del self.sizes[cpus]
+        self.least_cpus = min(self.sizes, default=math.inf)
 
     def in_order(self) -> list[Entry]:
+        """All offers, whose turn it is first."""
         if self.merged is None:
-            self.merged = sorted(itertools.chain.from_iterable(self.by_home.values()))  # a few runs, each in order
+            self.merged = sorted(itertools.chain.from_iterable(home.values() for home in self.by_home.values()))
         return self.merged
 
 
@@ -173,6 +208,7 @@
     fetch_s: Callable[[JobSpec], float],
     room_elsewhere: Callable[[Offer], int],
     keep: Callable[[Offer], bool] = lambda offer: False,
+    now: float = math.inf,
 ) -> list[Wanted]:
     """What to ask for, for one machine; takes it off ``left``.
 
@@ -206,7 +242,7 @@
         if offer.left <= 0:
             continue
         if spec.cpus > room[0] + 1e-9 or spec.memory_gb > room[1] + 1e-9 or spec.gpus > room[2] + 1e-9:
-            if not offer.patient and keep(offer):
+            if now >= offer.patient_until and keep(offer):
                 return result
             continue
         if not allowed(spec, machine.type, machine.zone, machine.spot):
--- /dev/null
+++ b/alderbridge/queues/__init__.py
@@ -0,0 +1,12 @@
+"""How a home's waiting jobs and its teams' sums reach the members that use them.
+
+A home publishes what has changed since it last told a member; the member keeps the whole. Members that run an older
+version are told the whole queue in every round, as ever. Why nothing unsafe rests on it: ``docs/design.md``, "Queues".
+"""
+
+from .home_queue import HomeQueue, HomeQueues
+from .offer_book import OfferBook
+from .publisher import Publisher, Snapshot
+from .teller import Round, Teller
+
+__all__ = ["HomeQueue", "HomeQueues", "OfferBook", "Publisher", "Round", "Snapshot", "Teller"]
--- /dev/null
+++ b/alderbridge/queues/home_queue.py
@@ -0,0 +1,110 @@
+"""The receiving side: what one home has told of its queue and of its teams' sums. Pure.
+
+States of a ``HomeQueue``:
+
+* EMPTY: nothing has arrived under this view.
+* PARTIAL: rows or sums have, and not yet both.
+* WHOLE: both have; each change leaves it whole.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from ..mesh import Queue, QueueChanges, QueueRow, TeamChanges
+
+Amounts = tuple[float, float]  # cpus, gpus
+_NOTHING: Amounts = (0.0, 0.0)
+
+
+def aged(row: QueueRow, by_s: float) -> QueueRow:
+    """The row as it stands that many seconds after it was told."""
+    return msgspec.structs.replace(row, due_in_s=row.due_in_s - by_s, waited_s=row.waited_s + by_s)
+
+
+class HomeQueue:
+    """A home's waiting jobs, and what its teams use, hold and want."""
+
+    def __init__(self) -> None:
+        """Nothing is known."""
+        self.told: dict[str, tuple[QueueRow, float]] = {}  # job -> its row, and when it arrived
+        self.used: dict[str, Amounts] = {}
+        self.held: dict[str, Amounts] = {}
+        self.want: dict[str, Amounts] = {}
+        self.allots = 0
+        self.has_rows = self.has_sums = False
+        self.by_changes = False  # whole queues are from before: late frames
+
+    @property
+    def whole(self) -> bool:
+        """Whether both rows and sums have arrived."""
+        return self.has_rows and self.has_sums
+
+    @property
+    def rows(self) -> list[QueueRow]:
+        """All rows, with their times as they were told."""
+        return [row for row, _ in self.told.values()]
+
+    def row(self, job: str, now: float) -> QueueRow:
+        """The row of one job, with its times as they stand."""
+        row, at = self.told[job]
+        return aged(row, now - at) if now != at else row
+
+    def aged_rows(self, now: float) -> Iterator[QueueRow]:
+        """All rows, with their times as they stand."""
+        for job in self.told:
+            yield self.row(job, now)
+
+    def take_queue(self, queue: Queue, now: float) -> bool:
+        """The whole of it, from a member that tells no changes; False: it is older than what is known."""
+        if self.by_changes:
+            return False
+        self.told = {row.job: (row, now) for row in queue.rows}
+        self.used, self.held, self.want, self.allots = queue.used, queue.held, queue.want, queue.allots
+        self.has_rows = self.has_sums = True
+        return True
+
+    def take_rows(self, changes: QueueChanges, now: float) -> None:
+        """Rows that are new or differ, and jobs that have none any more."""
+        self.by_changes = self.has_rows = True
+        if changes.whole:
+            self.told = {}
+        for job in changes.gone:
+            self.told.pop(job, None)
+        for row in changes.rows:
+            self.told[row.job] = (row, now)
+
+    def take_sums(self, changes: TeamChanges) -> None:
+        """The sums of teams that differ."""
+        self.by_changes = self.has_sums = True
+        if changes.whole:
+            self.used, self.held, self.want = {}, {}, {}
+        self.allots = changes.allots
+        for team, sums in changes.teams.items():
+            for known, amounts in ((self.used, sums.used), (self.held, sums.held), (self.want, sums.want)):
+                if amounts == _NOTHING:
+                    known.pop(team, None)
+                else:
+                    known[team] = amounts
+
+
+class HomeQueues(dict[str, HomeQueue]):
+    """The homes' queues that are whole, by label; those that are not yet are kept beside them."""
+
+    def __init__(self) -> None:
+        """No home has told anything."""
+        super().__init__()
+        self.partial: dict[str, HomeQueue] = {}
+
+    def of(self, label: str) -> HomeQueue:
+        """What that home has told so far, whole or not."""
+        known = self.get(label)
+        return known if known is not None else self.partial.setdefault(label, HomeQueue())
+
+    def arrived(self, label: str) -> None:
+        """Something of that home's was taken: it may be whole now."""
+        known = self.partial.get(label)
+        if known is not None and known.whole:
+            self[label] = self.partial.pop(label)
--- /dev/null
+++ b/alderbridge/queues/offer_book.py
@@ -0,0 +1,66 @@
+"""What a part makes of the homes' queues: offers in the order of placement. Pure.
+
+A row may arrive before its job's record does. It waits here for the record, as it is told but once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from .. import constants as c
+from ..mesh import Queue, QueueChanges, QueueRow
+from ..placement import Offer, Offers
+from ..wire import JobSpec
+
+
+class OfferBook:
+    """The offers of all homes under one view."""
+
+    def __init__(self, spec_of: Callable[[str], JobSpec | None]) -> None:
+        """``spec_of``: the description of a job, where its record is known here."""
+        self.spec_of = spec_of
+        self.offers = Offers()
+        self.by_changes: set[str] = set()  # homes that tell changes: whole queues of theirs are late frames
+        self.unknown: dict[str, dict[str, tuple[QueueRow, float]]] = {}  # home -> job -> row, when it was told
+
+    def clear(self) -> None:
+        """A new view: nothing that was offered counts."""
+        self.offers.clear()
+        self.by_changes.clear()
+        self.unknown.clear()
+
+    def take_queue(self, label: str, queue: Queue, now: float) -> None:
+        """All that a home offers, told in each round."""
+        if label not in self.by_changes:
+            self.offers.tell(label, self._offers_of(label, queue.rows, now))
+
+    def take_changes(self, label: str, changes: QueueChanges, now: float) -> None:
+        """What a home offers otherwise than before."""
+        self.by_changes.add(label)
+        unknown = self.unknown.setdefault(label, {})
+        if changes.whole:
+            unknown.clear()
+            self.offers.tell(label, ())
+        gone = [*changes.gone, *(row.job for row in changes.rows if row.offer <= 0)]
+        for job in gone:
+            unknown.pop(job, None)
+        offers = self._offers_of(label, changes.rows, now)
+        known = {offer.row.job for offer in offers}
+        for row in changes.rows:
+            unknown.pop(row.job, None)
+            if row.offer > 0 and row.job not in known:
+                unknown[row.job] = (row, now)
+        self.offers.change(label, offers, gone)
+
+    def look(self) -> None:
+        """Records may have arrived for which rows wait."""
+        for label, rows in self.unknown.items():
+            known = [(row, at, spec) for row, at in rows.values() if (spec := self.spec_of(row.job)) is not None]
+            if known:
+                self.offers.change(label, [Offer(label, row, spec, at, c.GATHER_S) for row, at, spec in known], ())
+                for row, _, _ in known:
+                    del rows[row.job]
+
+    def _offers_of(self, label: str, rows: Iterable[QueueRow], now: float) -> list[Offer]:
+        specs = [(row, self.spec_of(row.job)) for row in rows if row.offer > 0]
+        return [Offer(label, row, spec, now, c.GATHER_S) for row, spec in specs if spec is not None]
--- /dev/null
+++ b/alderbridge/queues/teller.py
@@ -0,0 +1,119 @@
+"""What a home tells each member in a round, in the form that the member reads. Pure.
+
+States, for one view:
+
+* WHOLE_QUEUES: a member, or one that is about to be, runs an older version: each round the whole queue, as ever.
+* CHANGES: all have written the newer generation: what has changed, in numbered messages. Never back in the same view,
+  so that a whole queue from one that tells changes can only be a late frame.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from .. import constants as c
+from ..mesh import Message, Pulse, Queue, Status
+from .publisher import Publisher, Snapshot
+
+
+class Form(Enum):
+    """In which form members are told."""
+
+    WHOLE_QUEUES = "whole queues"
+    CHANGES = "changes"
+
+
+class Link(Protocol):
+    """What is asked of a channel to another member."""
+
+    received: int
+    peer_mandate: int
+
+    def backlog(self) -> int:
+        """How many messages have no acknowledgement yet."""
+
+
+class Told(NamedTuple):
+    """A message for one member."""
+
+    label: str
+    message: Message
+    numbered: bool  # it must arrive, in order
+
+
+class Round(NamedTuple):
+    """What one round is about."""
+
+    now: float
+    mandate: int
+    leader: str
+    links: Mapping[str, Link]  # the channels to the other members of the view
+    snapshot: Snapshot
+    status: Status
+
+
+class Teller:
+    """Rounds of one home."""
+
+    def __init__(self, me: str) -> None:
+        """``me``: the label of this home."""
+        self.me = me
+        self.publisher = Publisher()
+        self.enter()
+
+    def enter(self) -> None:
+        """A new view."""
+        self.form = Form.WHOLE_QUEUES
+        self.publisher.clear()
+        self.last: dict[str, tuple[Message, float, int]] = {}  # member -> queue or status, when, what it acknowledged
+
+    def tell(self, one: Round, all_read_changes: bool) -> Iterator[Told]:
+        """All messages of a round; ``all_read_changes``: whoever takes part, or is about to, has written so."""
+        if all_read_changes:
+            self.form = Form.CHANGES
+        if self.form is Form.CHANGES:
+            yield from self._changes(one)
+            yield from self._to_each(one, one.status)
+        else:
+            self.publisher.again.clear()  # the next queue says it all
+            queue = Queue(*one.snapshot, one.status.silent, one.status.given_up, one.status.changes)
+            yield Told(self.me, queue, False)
+            yield from self._to_each(one, queue)
+
+    def _changes(self, one: Round) -> Iterator[Told]:
+        """Members one after the other, as equal messages in a row are encoded once."""
+        publisher = self.publisher
+        publisher.update(one.snapshot.rows, one.now)
+        ready = [
+            label
+            for label, link in one.links.items()
+            if link.peer_mandate >= one.mandate and link.backlog() < c.QUEUE_BACKLOG
+        ]
+        for label in (self.me, *ready):
+            numbered = label != self.me
+            if label == one.leader and (sums := publisher.sums_for_leader(one.snapshot)) is not None:
+                yield Told(label, sums, numbered)
+            if (changes := publisher.changes_for(label, label == one.leader)) is not None:
+                yield Told(label, changes, numbered)
+                self._acknowledged(label, one)
+
+    def _acknowledged(self, label: str, one: Round) -> None:
+        """The message that has just gone there carries the acknowledgement that the status would."""
+        if label in self.last:
+            message, at, _ = self.last[label]
+            self.last[label] = (message, at, one.links[label].received)
+
+    def _to_each(self, one: Round, message: Queue | Status) -> Iterator[Told]:
+        """To whom it is news; the same is told again only now and then, or with an acknowledgement to pass on."""
+        for label, link in one.links.items():
+            last, at, received = self.last.get(label, (Pulse(), float("-inf"), 0))
+            if (
+                last != message
+                or received != link.received
+                or one.now - at >= c.MESH_PROBE_S
+                or (isinstance(message, Queue) and message.rows)
+            ):
+                self.last[label] = (message, one.now, link.received)
+                yield Told(label, message, False)
--- a/alderbridge/urgency/rules.py
+++ b/alderbridge/urgency/rules.py
@@ -71,7 +71,7 @@
 
     def look(self, desk: Desk, now: float) -> list[Need]:
         ledger, leader = desk.ledger, desk.leader
-        rows = desk.queue_rows()
+        rows = desk.queue_rows(now)
         if not any(self.needs(spec) for job in rows if (spec := leader.replica.spec(job)) is not None):
             return []
         return needs(
