--- a/alderbridge/mesh.py
+++ b/alderbridge/mesh.py
@@ -67,7 +67,8 @@
 class QueueChanges(Message):
     """Rows of a home's queue that are news, in order after the ones before. Only among members of generation 6."""
 
-    rows: list[QueueRow]  # with their times as they stand when told
+    at: float  # when this was made, s of the sender's steady clock; the times of the rows are as they stood then
+    rows: list[QueueRow]
     gone: list[str]  # jobs that have no row any more
     whole: bool  # all rows: what was told before is void
 
--- a/alderbridge/node.py
+++ b/alderbridge/node.py
@@ -34,7 +34,7 @@
 from .jobs import Home, Job, JobState, Record
 from .leader import Leader
 from .machines import Machine, Part
-from .queues import OfferBook, Round, Snapshot, Teller
+from .queues import Form, OfferBook, Round, SenderClock, Snapshot, Teller
 from .replica import Replica, list_keys
 from .shares import StoreShare
 from .store import JOBS, LISTS, MACHINES, MEMBERS, VIEW
@@ -173,6 +173,7 @@
         # left for the controller
         self.outgoing: list[tuple[str, m.Frame]] = []
         self.teller = Teller(self.me)
+        self.sender_clocks: dict[str, SenderClock] = {}
         self.renewals: list[str] = []  # peers to be connected anew
         self.questions: deque[tuple[str, m.Ask]] = deque()
         self.replies: deque[m.Reply] = deque()
@@ -389,9 +390,10 @@
 
     def on_queue_changes(self, label: str, changes: m.QueueChanges) -> None:
         """Rows of a home's queue that are news."""
-        self.offer_book.take_changes(label, changes, self.now)
+        at = self.sender_clocks.setdefault(label, SenderClock()).moment(changes.at, self.now)
+        self.offer_book.take_changes(label, changes, at)
         if self.membership.view.leader == self.me:
-            self.leader.on_queue_changes(label, changes, self.now)
+            self.leader.on_queue_changes(label, changes, at)
 
     # -- view ------------------------------------------------------------------
 
@@ -493,6 +495,7 @@
         self.later.clear()
         self.teller.enter()
         self.offer_book.clear()
+        self.sender_clocks.clear()
         continued = inside and self.loaded and self.incarnation == self.membership.hold.permit
         old = self.home.jobs if continued else {}
         self.incarnation = self.membership.hold.permit if inside else 0
@@ -1114,8 +1117,7 @@
     def tell_queue(self, now: float, snapshot: Snapshot) -> None:
         """The members are told of the queue, and whoever is none that this process is there."""
         membership, contact = self.membership, self.membership.contact
-        members = membership.view.members
-        links = {label: channel for label, channel in self.channels.items() if label in members}
+        links = {label: self.channels[label] for label in self.told_queues()}
         status = m.Status(contact.missing(), contact.dropped(), self.store_share.told)
         one = Round(now, membership.mandate, membership.view.leader, links, snapshot, status)
         for told in self.teller.tell(one, membership.all_run(c.QUEUE_CHANGES)):
@@ -1124,9 +1126,16 @@
             else:
                 self.tell(told.label, told.message)
         for label in self.channels:
-            if label not in members:
+            if label not in links:
                 self.tell(label, m.Pulse())
 
+    def told_queues(self) -> list[str]:
+        """The other members of the view; but for older processes in a member's place, once changes are told."""
+        others = [label for label in self.channels if label in self.membership.view.members]
+        if self.teller.form is Form.WHOLE_QUEUES:
+            return others
+        return [label for label in others if self.membership.generations.get(label, 0) >= c.QUEUE_CHANGES]
+
     def keep_channels(self, now: float) -> None:
         """Probe what is quiet, send again what has no acknowledgement, and connect anew what stalls."""
         for label, channel in self.channels.items():
--- a/alderbridge/queues/__init__.py
+++ b/alderbridge/queues/__init__.py
@@ -7,6 +7,7 @@
 from .home_queue import HomeQueue, HomeQueues
 from .offer_book import OfferBook
 from .publisher import Publisher, Snapshot
-from .teller import Round, Teller
+from .sender_clock import SenderClock
+from .teller import Form, Round, Teller
 
-__all__ = ["HomeQueue", "HomeQueues", "OfferBook", "Publisher", "Round", "Snapshot", "Teller"]
+__all__ = ["Form", "HomeQueue", "HomeQueues", "OfferBook", "Publisher", "Round", "SenderClock", "Snapshot", "Teller"]
--- a/alderbridge/queues/publisher.py
+++ b/alderbridge/queues/publisher.py
@@ -74,7 +74,7 @@
 
     def clear(self) -> None:
         """A new view: everybody is told the whole."""
-        self.version = 0
+        self.version, self.now = 0, 0.0
         self.published: dict[str, _Published] = {}
         self.current: dict[str, QueueRow] = {}  # as they stand in this round
         self.gone: dict[str, int] = {}  # jobs without a row -> the version since which
@@ -86,7 +86,7 @@
 
     def update(self, rows: Iterable[QueueRow], now: float) -> None:
         """The queue as it stands in this round."""
-        self.version += 1
+        self.version, self.now = self.version + 1, now
         self.built.clear()
         self.current = {row.job: row for row in rows}
         for job, row in self.current.items():
@@ -117,7 +117,7 @@
         self.told[label] = self.version
         if since is None:
             rows = [row for row in self.current.values() if all_rows or row.offer > 0]
-            return QueueChanges(rows, [], True)
+            return QueueChanges(self.now, rows, [], True)
         key = (since, all_rows)
         if key not in self.built:
             self.built[key] = self._since(since, all_rows)
@@ -134,15 +134,15 @@
                 rows.append(row)
             else:
                 gone.append(job)
-        return QueueChanges(rows, gone, False) if rows or gone else None
+        return QueueChanges(self.now, rows, gone, False) if rows or gone else None
 
     def _with(self, changes: QueueChanges | None, again: set[str]) -> QueueChanges | None:
         """The changes, and the rows of jobs that are to be told again."""
         known = {row.job for row in changes.rows} if changes is not None else set()
         more = [self.current[job] for job in sorted(again - known) if job in self.current]
         if changes is None:
-            return QueueChanges(more, [], False) if more else None
-        return QueueChanges([*changes.rows, *more], changes.gone, False) if more else changes
+            return QueueChanges(self.now, more, [], False) if more else None
+        return QueueChanges(self.now, [*changes.rows, *more], changes.gone, False) if more else changes
 
     def sums_for_leader(self, snapshot: Snapshot) -> TeamChanges | None:
         """The sums that the leader does not know yet, with the count of allowances that they rest on."""
