Scale run: real controllers, hollow workers, stand-ins of the platform, and a judge

Cause: nobody could see the service work without writing stand-ins first, and no run had more than five controllers.

--- /dev/null
+++ b/scale/run.py
@@ -0,0 +1,446 @@
+"""Plays an experiment: starts all processes, brings its faults about, ends them, and judges what happened."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import defaultdict
+from pathlib import Path
+
+import aiohttp
+import psutil
+from hdrh.histogram import HdrHistogram
+
+from .experiment import Experiment, Fault
+from .hollow import HISTOGRAM as REPORT_HISTOGRAM
+from .jobs import JobPlan
+from .judge import Judge
+from .users import HISTOGRAM, Users
+from .worker_model import Event
+
+ROOT = Path(__file__).resolve().parent.parent
+SAMPLE_S = 1.0
+PROGRESS_S = 5.0
+READY_S = 30.0  # controllers that do not serve by then never will
+RESTART_S = 0.2  # a killed controller that is to be back is started this long before
+STOP_S = 20.0  # processes that have not ended by then are killed
+LIST_LAG_S = 4.0
+CLOUD_RATE = 20.0
+VALUE_KB, TRANSACTION_CHANGES = 4.0, 24
+CONTROLLER_SOCKETS_BASE = 400
+PERCENTILES = (50, 90, 99, 100)
+
+
+class RunError(Exception):
+    """The experiment could not be played; the text says why."""
+
+
+def free_port() -> int:
+    """A port of this machine that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    """In seconds."""
+    return {f"p{share}": histogram.get_value_at_percentile(share) / 1e6 for share in PERCENTILES}
+
+
+class Usage:
+    """Processor time and memory of one process, sampled while it runs."""
+
+    def __init__(self, role: str, name: str, process: subprocess.Popen) -> None:
+        """``role``: what is added up."""
+        self.role, self.name, self.process = role, name, process
+        self.watched = psutil.Process(process.pid)
+        self.processor_s, self.memory_mb, self.connections = 0.0, 0.0, 0
+
+    def sample(self) -> None:
+        """Look once; a process that has ended keeps what was seen."""
+        try:
+            times = self.watched.cpu_times()
+            self.processor_s = times.user + times.system
+            self.memory_mb = max(self.memory_mb, self.watched.memory_info().rss / 2**20)
+        except psutil.Error:
+            pass
+
+    def count_connections(self) -> None:
+        """Open sockets; costly, so only once."""
+        try:
+            self.connections = self.watched.num_fds()
+        except psutil.Error:
+            pass
+
+    def row(self, seconds: float) -> dict:
+        """For the results."""
+        return {
+            "role": self.role,
+            "name": self.name,
+            "processor_s": round(self.processor_s, 2),
+            "cores": round(self.processor_s / seconds, 4),
+            "memory_mb": round(self.memory_mb, 1),
+            "files": self.connections,
+        }
+
+
+class Run:
+    """One run of one experiment in a folder of its own."""
+
+    def __init__(self, experiment: Experiment, folder: Path, log_level: str) -> None:
+        """``folder``: settings, logs and the processes' results go there."""
+        self.experiment, self.folder, self.log_level = experiment, folder, log_level
+        self.labels = [f"host-{number}" for number in range(experiment.controllers)]
+        self.plan = JobPlan(
+            experiment.seed, experiment.teams, experiment.tasks, experiment.task_s, experiment.urgent_share
+        )
+        self.addresses = {label: f"127.0.0.1:{free_port()}" for label in self.labels}
+        self.mesh = {label: f"127.0.0.1:{free_port()}" for label in self.labels}
+        self.usages: list[Usage] = []
+        self.controllers: dict[str, subprocess.Popen] = {}
+        self.hollow: list[subprocess.Popen] = []
+        self.ports: dict = {}
+        self.began_at = 0.0
+        self.wrong: dict[str, set[str]] = {"cut_controllers": set(), "cut_zones": set(), "state_down": set()}
+        self.ended_by_themselves: list[str] = []
+        self.users: Users | None = None
+
+    # -- processes
+
+    def start_process(self, role: str, name: str, command: list[str], **more) -> subprocess.Popen:
+        """A process whose log goes into the folder."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, *command],
+                cwd=ROOT,
+                stderr=log,
+                start_new_session=True,
+                env=os.environ | {"LOG_LEVEL": self.log_level},
+                **more,
+            )
+        self.usages.append(Usage(role, name, process))
+        return process
+
+    def setup(self) -> dict:
+        """What the platform's and the hollow processes are told."""
+        one = self.experiment
+        return {
+            "labels": self.labels,
+            "zones": one.zone_names(),
+            "workers": one.workers,
+            "workers_at_start": one.workers * 9 // 10,
+            "boot_s": one.boot_s,
+            "list_lag_s": LIST_LAG_S,
+            "store_requests": one.store_requests,
+            "store_changes": one.store_changes,
+            "seed": one.seed,
+            "report_s": one.report_s,
+            "lease_s": one.lease_s,
+            "addresses": self.addresses,
+            "hollow": one.hollow_processes,
+            "plan": vars(self.plan),
+        }
+
+    def settings(self, label: str) -> dict:
+        """A controller's settings, as the platform hands them over."""
+        one, zones = self.experiment, self.experiment.zone_names()
+        teams = [
+            {"name": f"team-{number:03d}", "cpus": one.team_cpus / 2, "cpus_max": one.team_cpus}
+            for number in range(one.teams)
+        ]
+        return {
+            "label": label,
+            "location": self.zone_of(label),
+            "listen": self.addresses[label],
+            "mesh_addr": self.mesh[label],
+            "peers": [
+                {"label": other, "location": self.zone_of(other), "addr": self.mesh[other]}
+                for other in self.labels
+                if other != label
+            ],
+            "endpoints": {
+                "cloud": f"127.0.0.1:{self.ports['cloud']}",
+                "state": f"127.0.0.1:{self.ports['state'][label]}",
+            },
+            "settings": {
+                "zones": zones,
+                "teams": teams,
+                "objectives": [
+                    {"kind": "wait", "class": "urgent", "within_s": 12.0},
+                    {"kind": "finished", "class": "routine", "within_s": 250.0},
+                ],
+                "workers": {"report_s": one.report_s, "lease_s": one.lease_s, "cancel_s": one.cancel_s},
+                "state": {
+                    "rps": one.store_requests,
+                    "write_rps": one.store_changes,
+                    "value_kb": VALUE_KB,
+                    "txn_ops": TRANSACTION_CHANGES,
+                },
+                "cloud": {"rps": CLOUD_RATE, "list_lag_s": LIST_LAG_S},
+                "limits": {
+                    "cpu": 1.0,
+                    "memory_mb": 1000.0,
+                    "max_sockets": CONTROLLER_SOCKETS_BASE + 3 * one.workers,
+                },
+            },
+        }
+
+    def zone_of(self, label: str) -> str:
+        """Controllers are spread over the zones."""
+        return self.experiment.zone_names()[self.labels.index(label) % self.experiment.zones]
+
+    def start_controller(self, label: str) -> None:
+        """As operators start one."""
+        path = self.folder / f"{label}.json"
+        path.write_text(json.dumps(self.settings(label)))
+        command = [str(ROOT / "run.py"), "--config", str(path)]
+        self.controllers[label] = self.start_process("controller", label, command, stdout=subprocess.DEVNULL)
+
+    async def start(self) -> None:
+        """The platform first, then controllers, then workers."""
+        setup = self.folder / "setup.json"
+        setup.write_text(json.dumps(self.setup()))
+        platform = self.start_process(
+            "platform", "platform", ["-m", "scale.platform_server", str(setup)], stdout=subprocess.PIPE, text=True
+        )
+        line = await asyncio.to_thread(platform.stdout.readline)
+        if not line:
+            raise RunError(f"the platform's stand-in did not start: see {self.folder / 'platform.log'}")
+        self.ports = json.loads(line)
+        for label in self.labels:
+            self.start_controller(label)
+        await self.wait_until_ready()
+        setup.write_text(json.dumps(self.setup() | {"control": self.ports["control"]}))
+        for number in range(self.experiment.hollow_processes):
+            command = ["-m", "scale.hollow", str(setup), str(number), str(self.folder / f"hollow-{number}.json")]
+            self.hollow.append(self.start_process("hollow", f"hollow-{number}", command))
+
+    async def wait_until_ready(self) -> None:
+        """Until all controllers take requests."""
+        end = time.monotonic() + READY_S
+        async with aiohttp.ClientSession() as session:
+            for label, address in self.addresses.items():
+                while not await self.healthy(session, address):
+                    if self.controllers[label].poll() is not None or time.monotonic() > end:
+                        raise RunError(f"{label} does not serve: see {self.folder / label}.log")
+                    await asyncio.sleep(0.1)
+
+    @staticmethod
+    async def healthy(session: aiohttp.ClientSession, address: str) -> bool:
+        """Whether it says that it takes requests."""
+        try:
+            async with session.get(f"http://{address}/healthz") as response:
+                return response.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    def stop(self) -> None:
+        """End all processes; hollow ones write their results first."""
+        for process in self.hollow:
+            process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + STOP_S
+        for process in self.hollow:
+            try:
+                process.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                pass
+        for usage in self.usages:
+            if usage.process.poll() is None:
+                usage.process.kill()
+            usage.process.wait()
+
+    # -- the run
+
+    async def play(self) -> dict:
+        """The whole of it; the results."""
+        one = self.experiment
+        try:
+            await self.start()
+            self.began_at = time.monotonic()
+            self.users = Users(self.plan, list(self.addresses.values()), one.jobs_a_minute, one.cancelled_share)
+            tasks = [
+                asyncio.create_task(self.users.run(one.jobs_at_start)),
+                asyncio.create_task(self.sample()),
+                *(asyncio.create_task(self.bring_about(fault)) for fault in one.faults),
+            ]
+            try:
+                await asyncio.wait(tasks, timeout=one.seconds, return_when=asyncio.FIRST_EXCEPTION)
+                for task in tasks:
+                    if task.done() and task.exception() is not None:
+                        raise task.exception()
+                counts = await self.control("/counts")
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+        finally:
+            await asyncio.to_thread(self.stop)
+        return self.results(counts)
+
+    async def control(self, path: str, body: dict | None = None) -> dict:
+        """Ask the platform's stand-in, or tell it something."""
+        url = f"http://127.0.0.1:{self.ports['control']}{path}"
+        try:
+            async with aiohttp.ClientSession() as session, session.post(url, json=body or {}) as response:
+                return await response.json()
+        except (aiohttp.ClientError, OSError) as error:
+            raise RunError(f"the platform's stand-in does not answer: {error}") from None
+
+    async def sample(self) -> None:
+        """Processor time and memory each second, a line of progress now and then."""
+        last, last_at, next_at = 0, time.monotonic(), time.monotonic() + PROGRESS_S
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            for usage in self.usages:
+                usage.sample()
+            for usage in self.usages:
+                if usage.process.poll() is not None and usage.name not in self.ended_by_themselves:
+                    self.on_ended(usage)
+            now = time.monotonic()
+            if now >= next_at:
+                for usage in self.usages:
+                    usage.count_connections()
+                counts = await self.control("/counts")
+                starts = sum(one["starts"] for one in counts["hollow"])
+                self.progress(now, counts, (starts - last) / (now - last_at))
+                last, last_at, next_at = starts, now, now + PROGRESS_S
+
+    def on_ended(self, usage: Usage) -> None:
+        """A process has ended that was not told to."""
+        if usage.role != "controller":
+            raise RunError(f"{usage.name} ended by itself: see {self.folder / usage.name}.log")
+        if self.controllers[usage.name] is usage.process:
+            self.ended_by_themselves.append(usage.name)
+
+    def progress(self, now: float, counts: dict, rate: float) -> None:
+        """One line."""
+        workers = sum(one["workers"] for one in counts["hollow"])
+        done = sum(state == "done" for state in self.users.ended.values())
+        print(
+            f"{now - self.began_at:5.0f} s: {workers} workers, {len(self.users.accepted)} jobs accepted, {done} done,"
+            f" {rate:.0f} starts/s",
+            flush=True,
+        )
+
+    # -- faults
+
+    async def bring_about(self, fault: Fault) -> None:
+        """One fault, at its time, and its end."""
+        await asyncio.sleep(fault.at_s)
+        print(f"{fault.at_s:5.0f} s: {fault.kind} {fault.target} for {fault.for_s:g} s", flush=True)
+        if fault.kind == "kill controller":
+            process, self.controllers[fault.target] = self.controllers[fault.target], None
+            process.kill()
+            await asyncio.sleep(max(0.0, fault.for_s - RESTART_S))
+            self.start_controller(fault.target)
+            return
+        cut = [label for label in self.labels if self.zone_of(label) == fault.target]
+        changes = {"cut zone": {"cut_zones": {fault.target}, "cut_controllers": set(cut)}}
+        change = changes.get(fault.kind, {"state_down": {"down"}})
+        for name, more in change.items():
+            self.wrong[name] |= more
+        await self.tell_faults()
+        await asyncio.sleep(fault.for_s)
+        for name, more in change.items():
+            self.wrong[name] -= more
+        await self.tell_faults()
+
+    async def tell_faults(self) -> None:
+        """What is wrong now."""
+        await self.control(
+            "/fault",
+            {
+                "cut_zones": sorted(self.wrong["cut_zones"]),
+                "cut_controllers": sorted(self.wrong["cut_controllers"]),
+                "state_down": bool(self.wrong["state_down"]),
+            },
+        )
+
+    # -- results
+
+    def results(self, counts: dict) -> dict:
+        """Everything that was measured, and whether a rule was broken."""
+        one, users = self.experiment, self.users
+        hollow = [json.loads((self.folder / f"hollow-{n}.json").read_text()) for n in range(one.hollow_processes)]
+        events = [Event(*event) for process in hollow for event in process["events"]]
+        broken = Judge(self.plan, one.team_cpus, one.cancel_s).judge(events, users.cancelled) + users.went_back
+        totals: dict[str, float] = defaultdict(float)
+        for process in hollow:
+            for name, count in process["counts"].items():
+                totals[name] += count
+        refused: dict[str, int] = defaultdict(int)
+        for process in hollow:
+            for why, count in process["refused"].items():
+                refused[why] += count
+        reports = HdrHistogram(*REPORT_HISTOGRAM)
+        for process in hollow:
+            reports.decode_and_add(process["round_trips"])
+        return {
+            "experiment": {name: value for name, value in vars(one).items() if name != "faults"},
+            "faults": [vars(fault) for fault in one.faults],
+            "broken": broken,
+            "ended_by_themselves": self.ended_by_themselves,
+            "jobs": self.jobs(),
+            "starts_a_second": self.starts(events),
+            "submission_s": percentiles(users.answers),
+            "start_s": {name: percentiles(found) for name, found in self.start_waits(events).items()},
+            "report_s": percentiles(reports),
+            "workers": dict(totals) | {"refused": dict(refused)},
+            "state": counts["state"] | {"keys": counts["keys"]},
+            "cloud_calls": counts["cloud_calls"],
+            "processes": [usage.row(one.seconds) for usage in self.usages],
+            "roles": self.roles(),
+        }
+
+    def jobs(self) -> dict:
+        """What became of them."""
+        users = self.users
+        return {
+            "submitted": len(users.submitted),
+            "accepted": len(users.accepted),
+            "done": sum(state == "done" for state in users.ended.values()),
+            "cancelled": len(users.cancelled),
+            "refusals": users.refused,
+        }
+
+    def starts(self, events: list[Event]) -> dict:
+        """Of all seconds, the mean and the most."""
+        by_second: dict[int, int] = defaultdict(int)
+        for event in events:
+            if event.what == "on":
+                by_second[int(event.at - self.began_at)] += 1
+        total = sum(by_second.values())
+        return {"mean": round(total / self.experiment.seconds, 1), "most": max(by_second.values(), default=0)}
+
+    def start_waits(self, events: list[Event]) -> dict[str, HdrHistogram]:
+        """From a job's first submission to its first task's start, by class."""
+        first: dict[str, float] = {}
+        for event in sorted(events):
+            if event.what == "on":
+                first.setdefault(event.part.partition("/")[0], event.at)
+        found = {"urgent": HdrHistogram(*HISTOGRAM), "routine": HdrHistogram(*HISTOGRAM)}
+        for job, at in first.items():
+            if job in self.users.submitted:
+                job_class = self.plan.job_of(job)["workload"]
+                found[job_class].record_value(max(1, int((at - self.users.submitted[job]) * 1e6)))
+        return found
+
+    def roles(self) -> dict[str, dict]:
+        """Sums and largest shares of all processes of a role."""
+        result: dict[str, dict] = {}
+        for role in ("controller", "hollow", "platform"):
+            rows = [usage.row(self.experiment.seconds) for usage in self.usages if usage.role == role]
+            result[role] = {
+                "processes": len(rows),
+                "cores": round(sum(row["cores"] for row in rows), 3),
+                "largest_cores": max((row["cores"] for row in rows), default=0.0),
+                "largest_memory_mb": max((row["memory_mb"] for row in rows), default=0.0),
+                "most_files": max((row["files"] for row in rows), default=0),
+            }
+        return result
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import http.client
-import itertools
 import json
 import socket
 import subprocess
@@ -15,6 +14,8 @@
 
 import pytest
 
+from scale.state_model import StateModel
+
 ROOT = Path(__file__).resolve().parent.parent
 JOB = {
     "id": "wk-000001",
@@ -61,66 +62,48 @@
 
 def store_stand():
     lock = threading.Lock()
-    state = {"epoch": 0, "data": {}, "log": [], "down": False}
-    permits = itertools.count(1)
+    state = StateModel()
 
     class Store(Stand):
         def do_GET(self):
             self.body()
             url = urlparse(self.path)
             query = {key: values[0] for key, values in parse_qs(url.query).items()}
-            if state["down"]:
+            if state.down:
                 return self.reply(503, {})
             if url.path == "/follow":
-                end = time.monotonic() + min(0.3, int(query["wait_ms"]) / 1000)
-                while state["epoch"] <= int(query["from"]) and time.monotonic() < end:
-                    time.sleep(0.01)
-                with lock:
-                    log = [change for change in state["log"] if change["stamp"] > int(query["from"])]
-                    return self.reply(200, {"epoch": state["epoch"], "log": log})
+                return self.reply(*self.follow(int(query["from"]), int(query["wait_ms"])))
             with lock:
                 if url.path == "/kv":
-                    rows = [
-                        {"k": k, "data": v, "stamp": s}
-                        for k, (v, s, _) in sorted(state["data"].items())
-                        if k > query.get("from", "")
-                    ]
-                    return self.reply(200, {"rows": rows, "has_next": False, "epoch": state["epoch"]})
-                found = state["data"].get(url.path[4:])
-            if found is None:
-                return self.reply(404, {"epoch": state["epoch"]})
-            return self.reply(200, {"k": url.path[4:], "data": found[0], "stamp": found[1]})
+                    answer = state.rows(query.get("starts", ""), query.get("from", ""), 1000)
+                else:
+                    answer = state.get(url.path[4:])
+            return self.reply(*answer)
+
+        def follow(self, epoch, wait_ms):
+            end = time.monotonic() + min(0.3, wait_ms / 1000)
+            while True:
+                with lock:
+                    changes = state.changes_since("", epoch)
+                    if changes is not None or time.monotonic() >= end:
+                        return changes or (200, {"epoch": state.epoch, "log": []})
+                time.sleep(0.01)
 
         def do_POST(self):
             body = self.body()
-            if state["down"]:
+            if state.down:
                 return self.reply(503, {})
-            if self.path == "/holds":
-                return self.reply(200, {"permit": next(permits)})
-            if self.path != "/commit":
-                return self.reply(200, {})
             with lock:
-                failed = [c["k"] for c in body["if"] if state["data"].get(c["k"], (0, 0, None))[1] != c["stamp"]]
-                if failed:
-                    return self.reply(409, {"failed": failed, "epoch": state["epoch"]})
-                state["epoch"] += 1
-                for write in body["writes"]:
-                    if "put" in write:
-                        state["data"][write["put"]] = (write["data"], state["epoch"], write.get("permit"))
-                    else:
-                        state["data"].pop(write["drop"], None)
-                    state["log"].append({**write, "stamp": state["epoch"]})
-                return self.reply(200, {"epoch": state["epoch"]})
+                if self.path == "/holds":
+                    return self.reply(*state.new_hold(body["ttl_ms"], time.monotonic()))
+                if self.path != "/commit":
+                    return self.reply(*state.extend(int(self.path.split("/")[2]), time.monotonic()))
+                return self.reply(*state.commit(body, time.monotonic()))
 
         def do_DELETE(self):
             self.body()
             with lock:
-                state["epoch"] += 1
-                permit = int(self.path.rpartition("/")[2])
-                for key in [k for k, v in state["data"].items() if v[2] == permit]:
-                    del state["data"][key]
-                    state["log"].append({"drop": key, "stamp": state["epoch"]})
-            return self.reply(200, {})
+                return self.reply(*state.end_hold(int(self.path.rpartition("/")[2])))
 
     return Store, state
 
@@ -237,7 +220,7 @@
 def test_a_job_is_taken_once_and_withdrawn_for_good(world):
     service, state = world
     service.submit_until(JOB, 201)
-    assert "ab/j/wk-000001" in state["data"]
+    assert "ab/j/wk-000001" in state.data
     assert service.call("POST", "/v1/jobs", JOB)[0] == 200
     assert service.call("GET", "/v1/jobs/wk-000001")[1] == {
         "id": "wk-000001",
@@ -246,7 +229,7 @@
         "running": 0,
     }
     assert service.call("POST", "/v1/jobs/wk-000001/withdraw")[1]["status"] == "aborted"
-    assert state["data"]["ab/j/wk-000001"][0]["state"] == "aborted"
+    assert state.data["ab/j/wk-000001"].data["state"] == "aborted"
     service.stop()
     service.start()
     assert service.call("GET", "/v1/jobs/wk-000001")[1]["status"] == "aborted"
@@ -312,19 +295,19 @@
             break
         time.sleep(0.05)
     assert {(order["verb"], order["part"]) for order in orders} == {("run", "wk-000002/0"), ("run", "wk-000002/1")}
-    assert "ab/n/n-1" in state["data"]  # written before the first order
+    assert "ab/n/n-1" in state.data  # written before the first order
 
 
 def test_without_the_store_a_submission_is_refused_at_once(world):
     service, state = world
-    state["down"] = True
+    state.down = True
     try:
         status, _, headers = service.call("POST", "/v1/jobs", {**JOB, "id": "wk-000003"})
         assert status == 503
         assert int(headers["Retry-After"]) > 0
         assert service.call("GET", "/healthz")[0] == 200
     finally:
-        state["down"] = False
+        state.down = False
     service.submit_until({**JOB, "id": "wk-000003"}, 201)
 
 
@@ -339,7 +322,7 @@
     assert service.call("POST", "/v1/jobs", {**second, "waits_on": ["wk-000011", "wk-000011"]})[0] == 201
     assert service.call("POST", "/v1/jobs", {**third, "waits_on": ["wk-000012"]})[0] == 201
     assert service.call("POST", "/v1/jobs", {**unknown, "id": third["id"]})[0] == 200  # known: its state, as ever
-    assert state["data"]["ab/j/wk-000012"][0]["spec"]["waits_on"] == ["wk-000011"]
+    assert state.data["ab/j/wk-000012"][0]["spec"]["waits_on"] == ["wk-000011"]
     assert service.call("GET", "/v1/jobs/wk-000013")[1]["status"] == "pending"
     assert service.call("POST", "/v1/jobs/wk-000011/withdraw")[1]["status"] == "aborted"
     for job in ("wk-000012", "wk-000013"):
@@ -348,14 +331,14 @@
             if answer[0] == 200 and answer[1]["status"] == "aborted":
                 break
             time.sleep(0.05)
-        assert answer[1]["status"] == "aborted" and state["data"][f"ab/j/{job}"][0] == {"state": "aborted"}
+        assert answer[1]["status"] == "aborted" and state.data[f"ab/j/{job}"][0] == {"state": "aborted"}
     assert service.call("POST", "/v1/jobs", {**late, "waits_on": ["wk-000013"]})[1]["status"] == "aborted"
-    state["down"] = True
+    state.down = True
     try:
         status, _, headers = service.call("POST", "/v1/jobs", {**JOB, "id": "wk-000019", "waits_on": ["wk-888888"]})
         assert status == 503 and int(headers["Retry-After"]) > 0
     finally:
-        state["down"] = False
+        state.down = False
 
 
 def test_half_sent_and_idle_clients_do_not_stop_others(world):
--- a/tests/test_service_cut.py
+++ b/tests/test_service_cut.py
@@ -300,7 +300,7 @@
         self.until(lambda: time.monotonic() >= end, for_s + AFTER_S, "time passes")
 
     def leader(self):
-        view = self.state["data"].get("ab/view")
+        view = self.state.data.get("ab/view")
         return view[0]["leader"] if view is not None and len(view[0]["members"]) == len(LABELS) else None
 
 
