--- a/scale/run.py
+++ b/scale/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -35,17 +36,26 @@
 VALUE_KB, TRANSACTION_CHANGES = 4.0, 24
 CONTROLLER_SOCKETS_BASE = 400
 PERCENTILES = (50, 90, 99, 100)
+PORTS = range(12_000, 32_000)  # Linux gives outgoing connections those from 32,768 on
 
 
 class RunError(Exception):
     """The experiment could not be played; the text says why."""
 
 
-def free_port() -> int:
-    """A port of this machine that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def free_ports(count: int) -> list[int]:
+    """Ports of this machine that nobody listens on, below those that outgoing connections are given."""
+    found: list[int] = []
+    ports = iter(random.sample(PORTS, len(PORTS)))
+    while len(found) < count:
+        port = next(ports)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 def percentiles(histogram: HdrHistogram) -> dict[str, float]:
@@ -93,15 +103,19 @@
 class Run:
     """One run of one experiment in a folder of its own."""
 
-    def __init__(self, experiment: Experiment, folder: Path, log_level: str) -> None:
-        """``folder``: settings, logs and the processes' results go there."""
-        self.experiment, self.folder, self.log_level = experiment, folder, log_level
+    def __init__(self, experiment: Experiment, folder: Path, log_level: str, beside: Path | None = None) -> None:
+        """``folder``: settings, logs and the processes' results go there.
+
+        ``beside``: another checkout, whose program every second controller runs.
+        """
+        self.experiment, self.folder, self.log_level, self.beside = experiment, folder, log_level, beside
         self.labels = [f"host-{number}" for number in range(experiment.controllers)]
         self.plan = JobPlan(
             experiment.seed, experiment.teams, experiment.tasks, experiment.task_s, experiment.urgent_share
         )
-        self.addresses = {label: f"127.0.0.1:{free_port()}" for label in self.labels}
-        self.mesh = {label: f"127.0.0.1:{free_port()}" for label in self.labels}
+        ports = free_ports(2 * experiment.controllers)
+        self.addresses = {label: f"127.0.0.1:{ports.pop()}" for label in self.labels}
+        self.mesh = {label: f"127.0.0.1:{ports.pop()}" for label in self.labels}
         self.usages: list[Usage] = []
         self.controllers: dict[str, subprocess.Popen] = {}
         self.hollow: list[subprocess.Popen] = []
@@ -199,7 +213,8 @@
         """As operators start one."""
         path = self.folder / f"{label}.json"
         path.write_text(json.dumps(self.settings(label)))
-        command = [str(ROOT / "run.py"), "--config", str(path)]
+        other = self.beside is not None and self.labels.index(label) % 2
+        command = [str((self.beside if other else ROOT) / "run.py"), "--config", str(path)]
         self.controllers[label] = self.start_process("controller", label, command, stdout=subprocess.DEVNULL)
 
     async def start(self) -> None:
--- a/scale/worker_model.py
+++ b/scale/worker_model.py
@@ -30,6 +30,7 @@
     """What a judge has to know: a task is on a machine from here on, or no more."""
 
     at: float
+    number: int  # of its machine's events: some come at one moment
     machine: str
     part: str
     what: str  # "on", "done", "off"
@@ -65,6 +66,7 @@
         self.fetch_gb_per_s, self.lease_s, self.plan, self.tell = fetch_gb_per_s, lease_s, plan, tell
         self.address = ""
         self.tenure, self.counter, self.mandate = 1, 0, 0
+        self.told = 0  # events
         self.tasks: dict[str, Task] = {}
         self.images: set[str] = set()
         self.answered_at = now  # when the last answered report was sent
@@ -86,7 +88,7 @@
         """All tasks end and are forgotten."""
         for part, task in self.tasks.items():
             if task.state is TaskState.RUNNING:
-                self.tell(Event(now, self.name, part, "off"))
+                self._tell(now, part, "off")
         self.tasks.clear()
 
     def report(self, now: float) -> bytes:
@@ -157,12 +159,16 @@
         if not fetch_s:
             self._start(part, self.tasks[part], now)
 
+    def _tell(self, now: float, part: str, what: str) -> None:
+        self.told += 1
+        self.tell(Event(now, self.told, self.name, part, what))
+
     def _start(self, part: str, task: Task, now: float) -> None:
         task.state, task.until = TaskState.RUNNING, now + self.plan.run_s(part)
         self.changed = True
-        self.tell(Event(now, self.name, part, "on"))
+        self._tell(now, part, "on")
 
     def _end(self, part: str, task: Task, cause: str, now: float) -> None:
         if task.state is TaskState.RUNNING:
-            self.tell(Event(now, self.name, part, "done" if cause == "done" else "off"))
+            self._tell(now, part, "done" if cause == "done" else "off")
         task.state, task.cause, self.changed = TaskState.ENDED, cause, True
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -124,26 +124,37 @@
 # -- the judge
 
 
-def on(at, machine, part):
-    return Event(at, machine, part, "on")
+def on(at, machine, part, number=1):
+    return Event(at, number, machine, part, "on")
+
+
+def off(at, machine, part, number=2):
+    return Event(at, number, machine, part, "off")
+
+
+def test_the_judge_takes_what_came_at_one_moment_in_its_order():
+    """A task that started and was halted in one tick was counted as running on: a team's limit seemed broken."""
+    events = [on(1.0, "n-1", f"wk-000001/{n}", 2 * n) for n in range(9)]
+    events += [off(1.0, "n-1", f"wk-000001/{n}", 2 * n + 1) for n in range(9)]
+    assert Judge(PLAN, most_cpus=4.0, cancel_s=42.0).judge(events, {}) == []
 
 
 @pytest.mark.parametrize(
     "events, cancelled, broken",
     [
         (
-            [on(1.0, "n-1", "wk-000001/0"), Event(2.0, "n-1", "wk-000001/0", "off"), on(3.0, "n-2", "wk-000001/0")],
+            [on(1.0, "n-1", "wk-000001/0"), off(2.0, "n-1", "wk-000001/0"), on(3.0, "n-2", "wk-000001/0")],
             {},
             "",
         ),
         ([on(1.0, "n-1", "wk-000001/0"), on(3.0, "n-2", "wk-000001/0")], {}, "ran_twice"),
         ([on(float(n), "n-1", f"wk-000001/{n}") for n in range(9)], {}, "quota"),
         (
-            [on(1.0, "n-1", "wk-000001/0"), Event(50.0, "n-1", "wk-000001/0", "off")],
+            [on(1.0, "n-1", "wk-000001/0"), off(50.0, "n-1", "wk-000001/0")],
             {"wk-000001": 5.0},
             "ran_cancelled",
         ),
-        ([on(1.0, "n-1", "wk-000001/0"), Event(40.0, "n-1", "wk-000001/0", "off")], {"wk-000001": 5.0}, ""),
+        ([on(1.0, "n-1", "wk-000001/0"), off(40.0, "n-1", "wk-000001/0")], {"wk-000001": 5.0}, ""),
     ],
 )
 def test_the_judge_sees_what_is_broken(events, cancelled, broken):
@@ -212,7 +223,8 @@
     assert not left_running(tmp_path)
 
 
-def test_an_interrupted_run_leaves_nothing_behind(tmp_path):
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupted_run_leaves_nothing_behind(tmp_path, number):
     path = tmp_path / "one.ini"
     path.write_text(SMALL.replace("seconds = 9", "seconds = 60"))
     process = subprocess.Popen(
@@ -226,7 +238,7 @@
     while not (tmp_path / "kept" / "hollow-0.log").exists() and time.monotonic() < end:
         time.sleep(0.1)
     assert left_running(tmp_path)
-    os.kill(process.pid, signal.SIGINT)
+    os.kill(process.pid, number)
     assert process.wait(30.0) == 1 and "nothing is left running" in process.stderr.read()
     assert not left_running(tmp_path)
 
--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -13,6 +13,7 @@
 import dataclasses
 import json
 import resource
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -35,6 +36,7 @@
     parser.add_argument("--out", type=Path, help="results as JSON")
     parser.add_argument("--set", nargs="+", default=[], metavar="NAME=VALUE", help="settings in place of the file's")
     parser.add_argument("--log", default="error", choices=("error", "info", "debug"), help="what controllers write")
+    parser.add_argument("--beside", type=Path, help="another checkout, whose program every second controller runs")
     parser.add_argument("--keep", type=Path, help="a folder that keeps settings, logs and the processes' results")
     return parser.parse_args()
 
@@ -49,6 +51,8 @@
         one = dataclasses.replace(one, **{name: experiments.value_of("--set", name, value)})
     machine_mb = psutil.virtual_memory().total / 2**20
     one.check(machine_mb, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    if args.beside is not None and not (args.beside / "run.py").is_file():
+        raise experiments.ExperimentError(f"--beside {args.beside}: no run.py there")
     if args.out is not None and not args.out.parent.is_dir():
         raise experiments.ExperimentError(f"--out {args.out}: no such folder")
     print(
@@ -89,6 +93,8 @@
 def main() -> int:
     """Play, show, write."""
     args = parse()
+    for one in (signal.SIGINT, signal.SIGTERM):  # also where a shell starts it in the background, with both ignored
+        signal.signal(one, signal.default_int_handler)
     try:
         one = prepared(args)
     except experiments.ExperimentError as error:
@@ -98,7 +104,7 @@
         folder = args.keep or Path(scratch)
         folder.mkdir(parents=True, exist_ok=True)
         try:
-            results = asyncio.run(Run(one, folder, args.log).play())
+            results = asyncio.run(Run(one, folder, args.log, args.beside and args.beside.resolve()).play())
         except RunError as error:
             print(f"scale_run: {error}", file=sys.stderr)
             return FAILED
