--- a/scale/run.py
+++ b/scale/run.py
@@ -403,6 +403,7 @@
             "ended_by_themselves": self.ended_by_themselves,
             "jobs": self.jobs(),
             "starts_a_second": self.starts(events),
+            "most_running": self.most_running(events),
             "submission_s": percentiles(users.answers),
             "start_s": {name: percentiles(found) for name, found in self.start_waits(events).items()},
             "report_s": percentiles(reports),
@@ -433,6 +434,15 @@
         total = sum(by_second.values())
         return {"mean": round(total / self.experiment.seconds, 1), "most": max(by_second.values(), default=0)}
 
+    @staticmethod
+    def most_running(events: list[Event]) -> int:
+        """The most tasks that ran at one time."""
+        running = most = 0
+        for event in sorted(events):
+            running += 1 if event.what == "on" else -1
+            most = max(most, running)
+        return most
+
     def start_waits(self, events: list[Event]) -> dict[str, HdrHistogram]:
         """From a job's first submission to its first task's start, by class."""
         first: dict[str, float] = {}
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -190,6 +190,21 @@
     assert done.returncode == 2 and told in done.stderr and done.stderr.count("\n") == 1
 
 
+@pytest.mark.parametrize(
+    "more, told",
+    [
+        (["--beside", "nowhere"], "no run.py there"),
+        (["--out", "nowhere/results.json"], "no such folder"),
+        (["--set", "workers"], "expected NAME=VALUE"),
+        (["--set", "controllers=0"], "controllers = 0"),
+    ],
+)
+def test_a_faulty_option_gets_one_clear_line(more, told):
+    command = [sys.executable, "tools/scale_run.py", "scale/experiments/smallest.ini", *more]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 2 and told in done.stderr and done.stderr.count("\n") == 1
+
+
 def test_half_of_the_memory_and_too_many_sockets_are_refused():
     one = Experiment(workers=3600, controllers=16)
     one.check(24_000.0, 20_000)
--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -70,7 +70,10 @@
         f"jobs: {jobs['submitted']} submitted, {jobs['accepted']} accepted, {jobs['done']} done,"
         f" {jobs['cancelled']} cancelled"
     )
-    print(f"starts a second: {starts['mean']:g} in the mean, {starts['most']} at most")
+    print(
+        f"starts a second: {starts['mean']:g} in the mean, {starts['most']} at most; tasks running: "
+        f"{results['most_running']} at most"
+    )
     for name, found in (
         ("submission to acceptance", results["submission_s"]),
         ("report to answer", results["report_s"]),
