--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -45,7 +45,7 @@
             setup["lease_s"],
             process.plan,
             time.monotonic(),
-            process.events.append,
+            process.on_event,
         )
         self.node = process.rng.choice(setup["labels"])
         self.wake = asyncio.Event()
@@ -155,11 +155,17 @@
         self.by_port: dict[int, HollowWorker] = {}
         self.events: list[Event] = []
         self.counts = dict.fromkeys(("reports", "bytes_in", "bytes_out", "dropped", "sent_on", "commands"), 0)
+        self.seen = {"on": 0, "done": 0, "off": 0}  # events by what they tell
         self.refused: dict[str, int] = {}
         self.round_trips = HdrHistogram(*HISTOGRAM)
         self.cut_zones: set[str] = set()
         self.runner = web.ServerRunner(web.Server(self.on_command))
 
+    def on_event(self, event: Event) -> None:
+        """Something has begun or ended on a worker."""
+        self.events.append(event)
+        self.seen[event.what] += 1
+
     async def on_command(self, request: web.Request) -> web.Response:
         """``/commands`` or ``/status`` at a worker's address."""
         worker = self.by_port.get(request.transport.get_extra_info("sockname")[1])
@@ -187,10 +193,8 @@
 
     def told(self) -> dict:
         """What the platform hears of this process."""
-        starts = sum(event.what == "on" for event in self.events)
-        done = sum(event.what == "done" for event in self.events)
         addresses = {name: worker.model.address for name, worker in self.workers.items()}
-        counts = self.counts | {"starts": starts, "done": done, "workers": len(self.workers)}
+        counts = self.counts | {"starts": self.seen["on"], "done": self.seen["done"], "workers": len(self.workers)}
         return {"process": self.number, "of": self.setup["hollow"], "counts": counts, "addresses": addresses}
 
     async def follow(self, answer: dict) -> None:
--- a/tools/bench_fall.py
+++ b/tools/bench_fall.py
@@ -304,7 +304,7 @@
             spent = time.process_time()
         if spent is not None and "cpu" not in going and bench.now >= back + 30.0:
             going["cpu"] = time.process_time() - spent
-    first = next((at for at in bench.counts.starts_at if at > back), float("nan"))
+    first = next((at for at in bench.starts_at if at > back), float("nan"))
     peaks = {
         verb: max((n for second, n in counts.items() if second >= FALL_AT), default=0)
         for verb, counts in bench.orders.items()
@@ -320,7 +320,7 @@
         "tasks lost to leases": bench.lost,
         "started again while running": bench.again,
         "machines rented after": bench.rented - rented,
-        "starts": sum(at > FALL_AT for at in bench.counts.starts_at),
+        "starts": sum(at > FALL_AT for at in bench.starts_at),
         "cpu of 30 s, s": round(going.get("cpu", 0.0), 1),
     }
 
--- a/tools/bench_grid.py
+++ b/tools/bench_grid.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 
 import bench_node
+import left_out_fit
 import numpy
 
 from alderbridge import constants as c
@@ -88,17 +89,8 @@
     """The line through all points but the last, and what it says of the last."""
     counts = [getattr(point, sweep.count) for point in sweep.points]
     values = [rows[point][name] for point in sweep.points]
-    slope, base = numpy.polyfit(counts[:-1], values[:-1], 1)
-    return {
-        "sweep": sweep.name,
-        "value": name,
-        "counts": counts,
-        "values": values,
-        "base": float(base),
-        "slope": float(slope),
-        "predicted": float(base + slope * counts[-1]),
-        "measured": values[-1],
-    }
+    line = left_out_fit.fit(counts, values)
+    return {"sweep": sweep.name, "value": name, "counts": counts, "values": values, **line._asdict()}
 
 
 def print_points(rows: dict[Point, dict]) -> None:
--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -405,7 +405,7 @@
                     used[spec.team] += spec.cpus
         wanted = collections.defaultdict(float, used)
         for node in self.nodes.values():
-            for job in node.home.jobs.values():
+            for job in node.home.jobs.values() if node is not None else ():  # some worlds have controllers that fell
                 wanted[job.spec.team] += job.waiting * job.spec.cpus
         total = len(self.workers) * KIND.cpus
         reachable = sum(min(team.cpus_max, wanted[team.name]) for team in self.teams)
--- a/tools/bench_replica.py
+++ b/tools/bench_replica.py
@@ -17,8 +17,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+import left_out_fit  # noqa: E402
 import msgspec  # noqa: E402
-import numpy  # noqa: E402
 import psutil  # noqa: E402
 
 from alderbridge.dependencies import Graph  # noqa: E402
@@ -57,9 +57,11 @@
         print(f"{jobs:<9} {memory:6.1f} {seconds:8.2f}")
     for number, name in enumerate(("MB", "seconds")):
         values = [point[number] for point in points]
-        slope, base = numpy.polyfit(args.jobs[:-1], values[:-1], 1)
-        predicted = base + slope * args.jobs[-1]
-        print(f"{name}: {slope * 1e6:.1f} for a million jobs; predicted {predicted:.2f}, measured {values[-1]:.2f}")
+        line = left_out_fit.fit(args.jobs, values)
+        print(
+            f"{name}: {line.slope * 1e6:.1f} for a million jobs; {args.jobs[-1]} jobs predicted {line.predicted:.2f},"
+            f" measured {line.measured:.2f}"
+        )
     return 0
 
 
