--- /dev/null
+++ b/tests/test_cloud_refusals.py
@@ -0,0 +1,75 @@
+"""What the cloud may not answer, and machines that leave without a word of this leader's.
+
+A 503 "no capacity" to a listing or a return ended the scaling loop with a traceback ("loop=keep_machines
+state=failed"): the client took the words for a rental's, which alone has them, and the loop let that error through. A
+machine that an earlier leader had drained entered TERMINATING without the time: by ``terminating_since`` 0.0 it counted
+as leaving for ever, and was returned the moment its shard no longer reported it, not after the round in which the
+shard may confirm.
+"""
+
+import curio
+import pytest
+
+from alderbridge import constants
+from alderbridge.cloud import Cloud, CloudError, NoCapacityError
+from alderbridge.jobs.dependencies import Graph
+from alderbridge.leader.leader import Leader, LeaderSettings
+from alderbridge.leader.rented_machines import RentedMachineState
+from alderbridge.membership.membership import Membership
+from alderbridge.protocol.messages import MachineSummaries, MachineSummary, QueueSnapshot
+from alderbridge.protocol.wire import MachineType
+from alderbridge.settings import Team, Tuning
+from alderbridge.state.replica import Replica
+
+CALLS = {
+    "list_page": lambda cloud: cloud.list_page(""),
+    "return_machines": lambda cloud: cloud.return_machines(["n-1"]),
+    "machine_types": lambda cloud: cloud.machine_types(),
+}
+
+
+def refusing_cloud(status: int, body: bytes) -> Cloud:
+    cloud = Cloud("127.0.0.1:1")
+
+    async def request(method, target, raw, timeout_s):
+        return status, body
+
+    cloud.client.request = request
+    return cloud
+
+
+@pytest.mark.parametrize("call", CALLS)
+def test_no_capacity_is_an_answer_to_rentals_alone(call):
+    cloud = refusing_cloud(503, b'{"error":"no capacity"}')
+    with pytest.raises(CloudError) as raised:
+        curio.run(CALLS[call], cloud)
+    assert not isinstance(raised.value, NoCapacityError) and "503" in str(raised.value)
+
+
+def test_a_rental_without_capacity_is_told_from_an_outage():
+    rent = ("r-1", "large", "a", True, 2)
+    with pytest.raises(NoCapacityError):
+        curio.run(refusing_cloud(503, b'{"error":"no capacity"}').rent, *rent)
+    with pytest.raises(CloudError) as raised:
+        curio.run(refusing_cloud(503, b'{"error":"trouble"}').rent, *rent)
+    assert not isinstance(raised.value, NoCapacityError)
+
+
+def test_a_machine_that_was_drained_before_leaves_from_now_on():
+    known = Replica(Membership("host-0", 20.0, 12.0), Graph(lambda spec: 1.0, []))
+    leader = Leader(LeaderSettings([Team("t")], ["a"], Tuning(), 1.0, 17.0), known)
+    large = MachineType(name="large", cpus=16.0, memory_gb=64.0, price=1.0, spot_price=0.3, boot_s=10.0, zones=["a"])
+    leader.on_types({"large": large})
+    leader.enter(["host-0"], 90.0)
+    leader.rented_machines.listed = True
+    leader.on_queue("host-0", QueueSnapshot([], {}, {}, {}, 0), 100.0)
+    # Not empty: a task that ends in 30 s is on it.
+    ends = [(30.0, 1.0, 1.0, 0.0)]
+    row = MachineSummary("n-1", "large", "a", True, "draining", 0.0, (15.0, 63.0, 0.0), ends, 1.0)
+    leader.on_machine_summaries("host-0", MachineSummaries([row]), 100.0)
+    assert leader.decide(100.0).terminate == []
+    rented = leader.rented_machines["n-1"]
+    assert rented.state is RentedMachineState.TERMINATING and rented.terminating_since == 100.0
+    leader.on_machine_summaries("host-0", MachineSummaries([]), 100.5)  # its shard no longer has it
+    assert leader.decide(100.5).terminate == []
+    assert leader.decide(100.5 + constants.LEADER_ROUND_S).terminate == ["n-1"]
