Cloud: only a rental may lack capacity; a drained machine leaves from now on

Symptom: a 503 'no capacity' to a listing or a return ended the scaling loop with a traceback. Cause: the client read the words alike for every call. Now rental answers alone are read so; any other 503 is the cloud's failure, one line. Symptom: terminating_since 0.0 for a machine that an earlier leader had drained. Cause: scaling set the state past begin_termination, which sets the time.

--- a/alderbridge/cloud.py
+++ b/alderbridge/cloud.py
@@ -22,6 +22,13 @@
     """No machine of this type is available in this zone."""
 
 
+def _checked(target: str, status: int, answer: bytes) -> bytes:
+    """The answer of a request that was carried out; ``CloudError`` for any other."""
+    if status != 200:
+        raise CloudError(f"{target}: {status}")
+    return answer
+
+
 class Cloud:
     """The cloud's requests.
 
@@ -35,11 +42,7 @@
 
     async def _call(self, method: str, target: str, body: bytes = b"") -> bytes:
         status, answer = await self.client.request(method, target, body, constants.CLOUD_TIMEOUT_S)
-        if status == 503 and b"no capacity" in answer:
-            raise NoCapacityError(target)
-        if status != 200:
-            raise CloudError(f"{target}: {status}")
-        return answer
+        return _checked(target, status, answer)
 
     async def machine_types(self) -> dict[str, wire.MachineType]:
         """What it rents, with the prices, by name."""
@@ -52,7 +55,10 @@
         ``name`` tells this request from others. Raises ``NoCapacityError`` where none is granted.
         """
         body = wire.rental_request(name, machine_type, zone, spot, count)
-        return _rented.decode(await self._call("POST", "/rentals", body)).hosts
+        status, answer = await self.client.request("POST", "/rentals", body, constants.CLOUD_TIMEOUT_S)
+        if status == 503 and b"no capacity" in answer:  # an answer to rentals alone
+            raise NoCapacityError(f"{machine_type} {zone}")
+        return _rented.decode(_checked("/rentals", status, answer)).hosts
 
     async def return_machines(self, machines: list[str]) -> None:
         """Return machines, which are terminated then."""
--- a/alderbridge/leader/scaling.py
+++ b/alderbridge/leader/scaling.py
@@ -97,7 +97,7 @@
             if empty:
                 scaling.decision.terminate.append(name)
             elif rented.state is not RentedMachineState.TERMINATING:
-                rented.state = RentedMachineState.TERMINATING
+                self.machines.begin_termination(name, scaling.now, "drained before")
         elif rented.state is RentedMachineState.TERMINATING:
             scaling.decision.drain.append(name)  # its machine shard has not confirmed it yet
         elif row.state == ReportedState.UP:
