Replica: a record that can't be read stops nothing else

Symptom: a question for a job whose record can't be decoded was answered 500; a change with such a record ended the loop that follows the store five times a second, without naming the key, and a controller that started then never had a replica; a submission that met one made every later transaction fail. Cause: records were decoded where they arrived, and an error there went up to the loop. Now jobs, machines, lists and types are named in one line and passed over (a machine is waited for all the same, a job counts as known: 503, never 404); a view or member record that can't be read interrupts the loop as before, with its key, and is read again after a second.

--- a/alderbridge/controller/batch_results.py
+++ b/alderbridge/controller/batch_results.py
@@ -20,7 +20,7 @@
 from alderbridge.jobs.shard import JobShard
 from alderbridge.protocol import wire
 from alderbridge.protocol.keys import JOBS, MACHINES, list_keys
-from alderbridge.state.replica import Replica
+from alderbridge.state.replica import Replica, decode_or_none
 
 log = logging.getLogger("core")
 
@@ -150,10 +150,17 @@
             return
         if row is None or batch.claims is not None:
             return  # claims in conflict are given up: the replica will show them
-        name, record = key[len(JOBS) :], _record.decode(row.data)
+        name, record = key[len(JOBS) :], decode_or_none(_record, key, row.data)
         for submission, _ in batch.submissions + batch.lists:
-            if submission.job.spec.id == name and not submission.outcome:
+            if submission.job.spec.id != name or submission.outcome:
+                continue
+            if record is None:  # tried again, it would fail all that is written with it
+                self.replica.unreadable_jobs.add(name)
+                self.submissions.decide(submission, "known")
+            else:
                 self._resolve_submission(submission, record, row.revision, current)
+        if record is None:
+            return
         for job, _, _ in batch.jobs:
             if job.spec.id == name and self.job_shard.jobs.get(name) is job:
                 self._resolve_job(job, record, row.revision)
--- a/alderbridge/controller/job_directory.py
+++ b/alderbridge/controller/job_directory.py
@@ -40,4 +40,10 @@
 
     def knows_job(self, job: str) -> bool:
         """Whether the job is known here, active or ended."""
-        return job in self.replica.ended or job in self.replica.active or job in self.job_shard.jobs
+        replica = self.replica
+        return (
+            job in replica.ended
+            or job in replica.active
+            or job in self.job_shard.jobs
+            or job in replica.unreadable_jobs
+        )
--- a/alderbridge/controller/job_records.py
+++ b/alderbridge/controller/job_records.py
@@ -10,6 +10,7 @@
 from alderbridge.jobs.record import Record
 from alderbridge.protocol.keys import JOBS
 from alderbridge.state.errors import StoreRefusedError
+from alderbridge.state.replica import decode_or_none
 from alderbridge.state.store import Store
 from alderbridge.transport.errors import UnansweredError
 
@@ -20,6 +21,10 @@
     """The store has refused the read, or not answered it, or not with what can be read."""
 
 
+class UnreadableJobError(StoreUnreachableError):
+    """The store has answered, and the job's record can't be decoded: nothing can be said of the job."""
+
+
 class StoredJob(NamedTuple):
     """A job's record, and the revision of its key."""
 
@@ -36,10 +41,19 @@
         self.store_backoff = store_backoff
 
     async def read(self, job: str) -> StoredJob | None:
-        """The job's record, None where the store has none; raises ``StoreUnreachableError``."""
+        """The job's record, None where the store has none.
+
+        Raises ``StoreUnreachableError``; ``UnreadableJobError`` for a record that can't be decoded. That one is no
+        failure of the store: other jobs are served meanwhile.
+        """
         try:
             row = await self.store.get(JOBS + job)
         except (StoreRefusedError, UnansweredError, msgspec.DecodeError) as error:
             self.store_backoff.record_failure()
             raise StoreUnreachableError(job) from error
-        return None if row is None else StoredJob(_record.decode(row.data), row.revision)
+        if row is None:
+            return None
+        record = decode_or_none(_record, row.key, row.data)
+        if record is None:
+            raise UnreadableJobError(job)
+        return StoredJob(record, row.revision)
--- a/alderbridge/controller/loops/supervisor.py
+++ b/alderbridge/controller/loops/supervisor.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from alderbridge import constants
-from alderbridge.state.errors import StoreRefusedError, TransactionTooLargeError
+from alderbridge.state.errors import StoreRefusedError, TransactionTooLargeError, UnreadableRecordError
 from alderbridge.transport.errors import UnansweredError
 
 log = logging.getLogger("controller")
@@ -21,8 +21,11 @@
     while True:
         try:
             await loop()
-        except (StoreRefusedError, TransactionTooLargeError, UnansweredError, msgspec.DecodeError) as error:
+        except (StoreRefusedError, TransactionTooLargeError, UnansweredError) as error:
             log.info("loop=%s state=interrupted cause=%s", name, error)
+        except (UnreadableRecordError, msgspec.DecodeError) as error:
+            log.error("loop=%s state=interrupted cause=%s", name, error)
+            await curio.sleep(constants.STORE_BACKOFF_S)  # the same is read again: hardly anything else by then
         except curio.CancelledError:
             raise
         except Exception:
--- a/alderbridge/controller/responses.py
+++ b/alderbridge/controller/responses.py
@@ -17,7 +17,9 @@
 
 RETRY_LATER = [("Retry-After", str(constants.RETRY_AFTER_S))]
 STORE_UNREACHABLE = "the state service is out of reach"
+STORE_BUSY = "more is submitted than the state service takes"
 STORE_SLOW = "the state service is slow"
+UNREADABLE = "the job's record can't be read here"
 NO_SUCH_JOB = "no such job"
 
 
--- a/alderbridge/controller/users_api.py
+++ b/alderbridge/controller/users_api.py
@@ -19,7 +19,7 @@
 from alderbridge.controller.admission import Admission
 from alderbridge.controller.core import ControllerCore
 from alderbridge.controller.job_queries import JobQueries
-from alderbridge.controller.job_records import JobRecordReader, StoreUnreachableError
+from alderbridge.controller.job_records import JobRecordReader, StoreUnreachableError, UnreadableJobError
 from alderbridge.controller.responses import Handled, Responder, Response
 from alderbridge.controller.unanswered_jobs import UnansweredJobs
 from alderbridge.controller.waiters import Waiters
@@ -125,6 +125,8 @@
     async def _read_status(self, job: str) -> Response:
         try:
             stored = await self.records.read(job)
+        except UnreadableJobError:
+            return responses.unavailable(responses.UNREADABLE)
         except StoreUnreachableError:
             return responses.unavailable(responses.STORE_UNREACHABLE)
         if stored is None:
@@ -206,6 +208,8 @@
             # Another controller may have accepted it a moment ago: only the store can tell.
             try:
                 stored = await self.records.read(dependency)
+            except UnreadableJobError:
+                return responses.unavailable(f"waits_on: {dependency}: {responses.UNREADABLE}")
             except StoreUnreachableError:
                 return responses.unavailable(responses.STORE_UNREACHABLE)
             if stored is None:
--- a/alderbridge/state/errors.py
+++ b/alderbridge/state/errors.py
@@ -13,6 +13,7 @@
     * ``LeaseExpiredError``: the lease of this process is gone.
     * ``TransactionTooLargeError``: more than the store takes.
     * ``WatchCompactedError``: the changes asked for are no longer kept.
+    * ``UnreadableRecordError``: it was answered, with a record that this version can't read.
 
     A call without an answer raises the ``UnansweredError`` of the transport: it may have been carried out.
     """
@@ -36,3 +37,7 @@
 
 class WatchCompactedError(StoreError):
     """410: the store no longer has the changes since that revision."""
+
+
+class UnreadableRecordError(StoreError):
+    """A record that decides who may act can't be decoded: nothing may be built on what else the store says."""
--- a/alderbridge/state/replica.py
+++ b/alderbridge/state/replica.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import bisect
+import logging
 from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 
@@ -35,7 +37,11 @@
     prefix_of,
 )
 from alderbridge.protocol.store import MachineRecord, WatchEvent
+from alderbridge.state.errors import UnreadableRecordError
 
+log = logging.getLogger("replica")
+
+_T = TypeVar("_T")
 _Handler = Callable[[str, msgspec.Raw | None, int], None]  # key, value (None: dropped), revision
 
 _record = msgspec.json.Decoder(Record)
@@ -46,6 +52,23 @@
 _list = msgspec.json.Decoder(list[str])
 
 
+def decode_or_none(decoder: msgspec.json.Decoder[_T], key: str, data: msgspec.Raw) -> _T | None:
+    """The record under ``key``; None, with a line in the log, where it can't be read here."""
+    try:
+        return decoder.decode(data)
+    except msgspec.DecodeError as error:
+        log.error("record key=%s state=unreadable cause=%s", key, error)
+        return None
+
+
+def decode_strictly(decoder: msgspec.json.Decoder[_T], key: str, data: msgspec.Raw) -> _T:
+    """The record under ``key``, for those that decide who may act; raises ``UnreadableRecordError``."""
+    try:
+        return decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise UnreadableRecordError(f"{key}: {error}") from error
+
+
 class Replica:
     """What the store holds, as far as this controller has seen, and what follows from it.
 
@@ -61,6 +84,7 @@
         self.active: dict[str, tuple[Record, int]] = {}  # jobs that still have a spec, and their revisions
         self.left: dict[str, int] = {}  # of these, tasks that their records do not count as done
         self.by_age: list[tuple[float, str]] = []  # submission, job; some may have ended
+        self.unreadable_jobs: set[str] = set()  # the store has them, and their records can't be decoded here
         self.ended: dict[str, JobState] = {}  # kept for as long as the process runs; one small entry a job
         self.done_at: dict[str, float] = {}  # where the record says it
         self.lists: dict[str, list[str]] = {}  # key -> dependencies of a job, beside its record
@@ -90,19 +114,20 @@
         else:
             key, data = change.drop or "", None
         if key == VIEW:
-            return data is not None and self.membership.observe_view(_view.decode(data), change.revision)
+            return data is not None and self.membership.observe_view(decode_strictly(_view, key, data), change.revision)
         handler = self._handlers.get(prefix_of(key))
         if handler is not None:
             handler(key, data, change.revision)
         return False
 
     def _apply_types(self, _key: str, data: msgspec.Raw | None, revision: int) -> None:
-        if data is not None:
-            self.types = {kind.name: kind for kind in _machine_types.decode(data).types}
+        types = None if data is None else decode_or_none(_machine_types, TYPES, data)
+        if types is not None:
+            self.types = {kind.name: kind for kind in types.types}
             self.types_revision = revision
 
     def _apply_member(self, key: str, data: msgspec.Raw | None, revision: int) -> None:
-        member = None if data is None else _member_record.decode(data)
+        member = None if data is None else decode_strictly(_member_record, key, data)
         self.membership.observe_member(key[len(MEMBERS) :], member, revision)
 
     def _apply_job(self, key: str, data: msgspec.Raw | None, revision: int) -> None:
@@ -111,18 +136,25 @@
         job = key[len(JOBS) :]
         known = self.active.get(job)
         if known is None or revision > known[1]:  # else it is this controller's own write
-            self.observe_job(job, _record.decode(data), revision)
+            record = decode_or_none(_record, key, data)
+            if record is None:
+                self.unreadable_jobs.add(job)
+            else:
+                self.unreadable_jobs.discard(job)
+                self.observe_job(job, record, revision)
 
     def _apply_list(self, key: str, data: msgspec.Raw | None, _revision: int) -> None:
-        if data is None:
+        names = None if data is None else decode_or_none(_list, key, data)
+        if names is None:
             self.lists.pop(key, None)
         else:
-            self.lists[key] = _list.decode(data)
+            self.lists[key] = names
 
     def _apply_machine(self, key: str, data: msgspec.Raw | None, revision: int) -> None:
         name = key[len(MACHINES) :]
         if data is not None:
-            self.records[name] = _machine.decode(data)
+            # Whatever it says, views wait for the machine.
+            self.records[name] = decode_or_none(_machine, key, data) or MachineRecord()
             self.machines[name] = max(revision, self.machines.get(name, 0))
         elif self.machines.get(name, 0) < revision:
             self.machines.pop(name, None)
