Records: each class of the store's changes has an assured rate

Change: a hierarchical token bucket over the budget, an assured part for records of machines, drops, ends, submissions and progress, work-conserving; submissions beyond what can be stored before users give up get 503 at once; overdue ones are dropped where there is no room for all. A log line, records state=short, says what waits.

--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -106,6 +106,9 @@
 UNANSWERED_JOBS = 2000  # jobs; no more are counted so at one time
 RETRY_AFTER_S = 2  # s; told to users when the service can't take a request
 SUBMIT_WAIT_S = 3.5  # s; users give a submission up after 5 s
+# s; a submission that has no place in the store by then is dropped: its user was told so after ``SUBMIT_WAIT_S``, and
+# tries again, most likely elsewhere, ``RETRY_AFTER_S`` later
+SUBMISSION_TTL_S = 5.0
 STORE_BACKOFF_S = 1.0  # s; after a call that failed, submissions are refused at once this long
 RATE_SHARE = 0.9  # share of a stated rate that all controllers together use
 
--- a/alderbridge/controller/record_writer.py
+++ b/alderbridge/controller/record_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import NamedTuple
 
 import msgspec
@@ -13,14 +14,19 @@
 from alderbridge.controller.submissions import Submission, Submissions
 from alderbridge.controller.write_batch import WriteBatch
 from alderbridge.jobs.job import Job
-from alderbridge.jobs.record import Record
+from alderbridge.jobs.record import JobState, Record
 from alderbridge.jobs.shard import JobShard
 from alderbridge.machines.shard import MachineShard
 from alderbridge.protocol.keys import JOBS, MACHINES, VIEW
 from alderbridge.state.replica import Replica
+from alderbridge.state.write_classes import ASSURED_SHARES, WriteClass
 from alderbridge.state.write_rate_limit import WriteRateLimit
 
+log = logging.getLogger("core")
+
 URGENT_BELOW = 2.0  # ranks of due writes below this are ends, for which users wait
+SHORTAGE_LOG_S = 10.0  # s; between two lines about changes that wait for the write budget
+LEAST_SUBMISSIONS_QUEUED = 4  # submissions; a controller takes so many however low its write budget is
 RECORD_OVERHEAD = 100  # bytes of a transaction's body for each record, beside its value
 
 
@@ -31,12 +37,18 @@
     plain: int  # without
 
 
+def entry_id(entry: Job | Submission) -> str:
+    """The id of the job that a due record is of."""
+    return entry.job.spec.id if isinstance(entry, Submission) else entry.spec.id
+
+
 class RecordWriter:
     """Builds the transactions, one at a time, within the write rate limit.
 
-    Preemption claims go first, then configuration if no user waits, each in a transaction of its own. Others hold, in
-    this order: new records of machines, drops of machine records for up to half of the room, ends and submissions,
-    progress of running jobs, the rest of the drops, and drops of dependency lists.
+    Preemption claims go first, then configuration if no user waits, each in a transaction of its own. Others hold what
+    is assured to each class (``state/write_classes.py``), and then, in this order: new records of machines, drops of
+    machine records for up to half of the room, ends and submissions, progress of running jobs, the rest of the drops,
+    and drops of dependency lists.
     """
 
     def __init__(
@@ -65,6 +77,7 @@
         self.write_rate_limit = write_rate_limit
         self.max_changes = max_changes  # less once the store has refused that many
         self.claims_deferred = False  # the last transaction of claims failed: what else is due goes first, once
+        self.shortage_logged_at = float("-inf")
         self.lists_to_drop: list[str] = []  # keys of lists whose jobs are over
 
     # -- when to write ---------------------------------------------------------
@@ -93,6 +106,17 @@
             pause = min(pause, (1 - available) / budget.rate)
         return max(constants.WRITER_PAUSE_S, pause)
 
+    def can_take_submission(self, now: float) -> bool:
+        """Whether one more submission could be stored before its user's time is up.
+
+        Beyond that a user is better told so at once: another controller may have room.
+        """
+        rate_limit = self.write_rate_limit
+        assured = ASSURED_SHARES[WriteClass.SUBMISSION] * rate_limit.budget.rate
+        ahead = constants.WRITE_AHEAD_SHARE * rate_limit.budget.burst
+        storable = ahead + assured * constants.SUBMIT_WAIT_S
+        return len(self.submissions.pending) < max(storable, LEAST_SUBMISSIONS_QUEUED)
+
     # -- one transaction -------------------------------------------------------
 
     def next_batch(self, now: float) -> WriteBatch | None:
@@ -108,8 +132,21 @@
         if not self._fill(batch, room):
             return None
         self.write_rate_limit.spend(batch.changes, now)
+        self._spend_assured(batch, now)
         return batch
 
+    def _spend_assured(self, batch: WriteBatch, now: float) -> None:
+        """Account for the classes of the batch's changes."""
+        assured = self.write_rate_limit.assured
+        is_urgent = [
+            record.state is not JobState.ACTIVE or record.start_limit > job.start_limit for job, record, _ in batch.jobs
+        ]
+        assured.spend(WriteClass.MACHINE_RECORD, now, len(batch.machines))
+        assured.spend(WriteClass.MACHINE_DROP, now, len(batch.dropped_machines))
+        assured.spend(WriteClass.JOB_END, now, sum(is_urgent))
+        assured.spend(WriteClass.PROGRESS, now, len(is_urgent) - sum(is_urgent))
+        assured.spend(WriteClass.SUBMISSION, now, len(batch.submissions) + len(batch.lists))
+
     def _fill(self, batch: WriteBatch, room: WriteRoom) -> bool:
         """Put into the batch what is due; False: nothing is."""
         if self._add_claims(batch, room):
@@ -160,6 +197,7 @@
             return [*ends, *pending.values()]
         self.write_rate_limit.is_short = True
         now = self.state.now
+        self.submissions.expire(now)
         waited: list[tuple[float, Job | Submission]] = [
             (job.dirty_since if job.dirty_since is not None else now, job) for job in ends
         ]
@@ -182,25 +220,72 @@
     def _add_records(
         self, batch: WriteBatch, room: WriteRoom, urgent: list[Job | Submission], progress: list[Job]
     ) -> None:
-        """Records of machines and jobs, and drops."""
-        self._add_machine_records(batch, room)
+        """Records of machines and jobs, and drops: first what is assured to each class, then the rest in order."""
+        self._log_shortage(room, urgent, progress)
+        self._add_assured(batch, room, urgent, progress)
+        self._add_machine_records(batch, room.plain)
         self._reserve_machine_drops(batch, room, len(urgent))
         for number, entry in enumerate([*urgent, *progress]):
             if batch.changes >= (room.most if number < len(urgent) else room.plain):
                 break
-            if isinstance(entry, Submission):
-                added = self._add_submission(batch, room, entry)
-            else:
-                added = self._add_job(batch, entry)
-            if not added:
+            if not self._add_entry(batch, room, entry):
                 break
         self._add_machine_drops(batch, room)
         self._add_list_drops(batch, room)
 
-    def _add_machine_records(self, batch: WriteBatch, room: WriteRoom) -> None:
-        """New records of machines that report here."""
+    def _log_shortage(self, room: WriteRoom, urgent: list[Job | Submission], progress: list[Job]) -> None:
+        """Now and then, while more waits than may be written: how much of each class."""
+        now, machines, drops = self.state.now, self.machine_shard.records.to_write, self.machine_records.to_drop
+        if now < self.shortage_logged_at + SHORTAGE_LOG_S or len(machines) + len(drops) + len(urgent) <= room.most:
+            return
+        self.shortage_logged_at = now
+        submissions = sum(isinstance(entry, Submission) for entry in urgent)
+        log.info(
+            "records state=short rate=%.1f machines=%d drops=%d ends=%d submissions=%d progress=%d",
+            self.write_rate_limit.budget.rate,
+            len(machines),
+            len(drops),
+            len(urgent) - submissions,
+            submissions,
+            len(progress),
+        )
+
+    def _add_assured(
+        self, batch: WriteBatch, room: WriteRoom, urgent: list[Job | Submission], progress: list[Job]
+    ) -> None:
+        """What no other class may keep waiting, whichever of them floods."""
+        assured = self.write_rate_limit.assured
+        now = self.state.now
+        records = assured.available(WriteClass.MACHINE_RECORD, bool(self.machine_shard.records.to_write), now)
+        drops = assured.available(WriteClass.MACHINE_DROP, bool(self.machine_records.to_drop), now)
+        self._add_machine_records(batch, min(records, room.most))
+        batch.dropped_machines = self.machine_records.to_drop[: min(drops, room.most - batch.changes)]
+        waiting: tuple[tuple[WriteClass, list[Job | Submission]], ...] = (
+            (WriteClass.JOB_END, [entry for entry in urgent if isinstance(entry, Job)]),
+            (WriteClass.SUBMISSION, [entry for entry in urgent if isinstance(entry, Submission)]),
+            (WriteClass.PROGRESS, list(progress)),
+        )
+        for write_class, entries in waiting:
+            for entry in entries[: assured.available(write_class, bool(entries), now)]:
+                if batch.changes >= room.most or not self._add_entry(batch, room, entry):
+                    break
+
+    def _add_entry(self, batch: WriteBatch, room: WriteRoom, entry: Job | Submission) -> bool:
+        """A job or a submission, unless the batch has it already; False: the batch is full."""
+        if JOBS + entry_id(entry) in batch.conditions:
+            return True
+        if isinstance(entry, Submission):
+            return self._add_submission(batch, room, entry)
+        return self._add_job(batch, entry)
+
+    def _add_machine_records(self, batch: WriteBatch, most: int) -> None:
+        """New records of machines that report here, until the batch has ``most`` of them."""
         to_drop = self.machine_records.to_drop
-        for name in [name for name in self.machine_shard.records.to_write if name not in to_drop][: room.plain]:
+        for name in self.machine_shard.records.to_write:
+            if len(batch.machines) >= most:
+                break
+            if name in to_drop or MACHINES + name in batch.puts:
+                continue
             batch.machines.append(name)
             batch.conditions[MACHINES + name] = 0
             batch.puts[MACHINES + name] = self.machine_shard.machines[name].record
@@ -212,7 +297,8 @@
         each record left behind by a machine that is gone holds up the inherited tasks of every later view.
         """
         left = min((room.plain - len(batch.machines) + 1) // 2, room.most - len(batch.machines) - urgent)
-        batch.dropped_machines = self.machine_records.to_drop[: max(0, left)]
+        if left > len(batch.dropped_machines):
+            batch.dropped_machines = self.machine_records.to_drop[:left]
 
     def _add_submission(self, batch: WriteBatch, room: WriteRoom, submission: Submission) -> bool:
         """The lists beside a submission, or its record once they are stored; False: the batch is full."""
--- a/alderbridge/controller/submissions.py
+++ b/alderbridge/controller/submissions.py
@@ -91,6 +91,15 @@
         for submission in list(self.pending.values()):
             self.decide(submission, "refused")
 
+    def expire(self, now: float) -> None:
+        """Refuse what has waited for so long that its user tries elsewhere.
+
+        Stored here later, it would be met there as a conflict, which costs both controllers their transactions.
+        """
+        for submission in list(self.pending.values()):
+            if now - submission.job.submitted > constants.SUBMISSION_TTL_S:
+                self.decide(submission, "refused")
+
     def decide(self, submission: Submission, outcome: str) -> None:
         """Set the outcome, as ``Submission.outcome`` has it."""
         spec = submission.job.spec
--- a/alderbridge/state/write_rate_limit.py
+++ b/alderbridge/state/write_rate_limit.py
@@ -10,6 +10,7 @@
 import math
 
 from alderbridge import constants
+from alderbridge.state.write_classes import AssuredRates
 from alderbridge.transport.token_bucket import TokenBucket
 
 
@@ -21,6 +22,7 @@
         self.rate = rate
         self.share = rate / members
         self.budget = TokenBucket(self.share, self.share, now)
+        self.assured = AssuredRates(self.share, now)
         self.is_short = False  # since the last report, users had to wait because the budget was used up
         self.changes_made, self.counted_at = 0, now  # changes since the last report, and when that was
         self.reported_rate = 0  # changes/s; as last reported
@@ -29,7 +31,7 @@
     def enter(self, members: int, now: float) -> None:
         """A new view, of that many members. Only members write: controllers outside the view get no share."""
         self.share = self.rate / max(1, members)
-        self.budget.change(self.share, self.share, now)
+        self._change_rate(self.share, now)
         self.peers.clear()
 
     def spend(self, changes: int, now: float) -> None:
@@ -49,11 +51,15 @@
             self.reported_rate = max(changes_made, math.ceil(self.share)) if self.is_short else changes_made
             self.changes_made, self.counted_at, self.is_short = 0, now, False
         if self.reported_rate < self.share:
-            self.budget.change(self.share, self.share, now)
+            self._change_rate(self.share, now)
             return
         unused, borrowers = 0.0, 1
         for changes, at in self.peers.values():
             if changes >= 0 and now - at < constants.LENT_RATE_TTL_S:
                 unused += max(0.0, self.share - changes)
                 borrowers += changes >= self.share
-        self.budget.change(self.share + unused / borrowers, self.share, now)
+        self._change_rate(self.share + unused / borrowers, now)
+
+    def _change_rate(self, rate: float, now: float) -> None:
+        self.budget.change(rate, self.share, now)
+        self.assured.change(rate, now)
