Renting: what can be rented for a demand is asked without its prices

Now the kinds are listed once a round and a demand is asked for the first that serves it; options are priced for demands that rent.

--- a/alderbridge/scheduling/market.py
+++ b/alderbridge/scheduling/market.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from alderbridge.protocol.wire import MachineType
@@ -42,10 +42,14 @@
         machine = self.types[kind.type]
         return (machine.cpus, machine.memory_gb, machine.gpus)
 
-    def options(self, demand: Demand, now: float) -> list[tuple[float, MachineKind]]:
-        """What a demand may be rented, and its price per slot that is of use; the cheapest first."""
+    def serves(self, kind: MachineKind, demand: Demand) -> bool:
+        """Whether a machine of this kind could run tasks of the demand."""
+        return may_use(demand, kind) and fits(demand.spec, self.room(kind)) > 0
+
+    def options(self, demand: Demand, kinds: Iterable[MachineKind]) -> list[tuple[float, MachineKind]]:
+        """Of ``kinds``, what a demand may be rented, and its price per slot that is of use; the cheapest first."""
         result = []
-        for kind in self.kinds(now):
+        for kind in kinds:
             slots = fits(demand.spec, self.room(kind))
             if slots and may_use(demand, kind):
                 result.append((self.price(kind) / min(slots, demand.count), kind))
@@ -53,7 +57,7 @@
 
     def best(self, demand: Demand, now: float, count: Mapping[MachineKind, int] | None = None) -> MachineKind | None:
         """The cheapest for a demand; ``count``: machines that are there already."""
-        return cheapest(self.options(demand, now), count or {})
+        return cheapest(self.options(demand, self.kinds(now)), count or {})
 
 
 def cheapest(options: Sequence[tuple[float, MachineKind]], count: Mapping[MachineKind, int]) -> MachineKind | None:
--- a/alderbridge/scheduling/policy.py
+++ b/alderbridge/scheduling/policy.py
@@ -33,21 +33,30 @@
 
     def __init__(self, walk: Walk, market: Market, now: float, count: Mapping[MachineKind, int]) -> None:
         """``count``: machines that are there already."""
-        self.walk, self.market, self.now = walk, market, now
+        self.walk, self.market = walk, market
+        self.rentable = market.kinds(now)
         self.count = dict(count)
         self.kinds: list[MachineKind] = []
         self.known: dict[str, list[tuple[float, MachineKind]]] = {}  # job -> its options
+        self.hopeless: dict[str, bool] = {}  # job -> whether it has none
 
     def options(self, demand: Demand) -> list[tuple[float, MachineKind]]:
         """What the demand may be rented, and its price; found once."""
         job = demand.spec.id
         if job not in self.known:
-            self.known[job] = self.market.options(demand, self.now)
+            self.known[job] = self.market.options(demand, self.rentable)
         return self.known[job]
 
+    def is_hopeless(self, demand: Demand) -> bool:
+        """Whether nothing can be rented for the demand. Asked of each one: the prices of its options are not needed."""
+        job = demand.spec.id
+        if job not in self.hopeless:
+            self.hopeless[job] = not any(self.market.serves(kind, demand) for kind in self.rentable)
+        return self.hopeless[job]
+
     def breach(self) -> Demand | None:
         """The first demand that would be late and that something may be rented for."""
-        return self.walk.breach(lambda demand: not self.options(demand))
+        return self.walk.breach(self.is_hopeless)
 
     def add(self, demand: Demand, number: int) -> None:
         """So many more machines for the demand."""
@@ -104,7 +113,7 @@
     Machines that one demand lacks are found by doubling and halving, not one walk each.
     """
     search = _RentalSearch(walk, market, now, count)
-    if not market.kinds(now):
+    if not search.rentable:
         return search.kinds
     breach = search.breach()
     while breach is not None and len(search.kinds) < below_cap:
@@ -125,9 +134,10 @@
     that hold them, less those that are booting and not overdue.
     """
     kinds: list[MachineKind] = []
+    rentable = market.kinds(now)
     coming = list(booting)
     for demand in queue:
-        kind = market.best(demand, now)
+        kind = cheapest(market.options(demand, rentable), {})
         if kind is None or demand.due_in_s > market.types[kind.type].boot_s + constants.HARD_MARGIN_S:
             continue
         left = demand.count
