Claims: free room is filled before others' work is stopped

Cause: four that meet. Late work that may preempt stood behind what it may preempt; the leader's walk hides free room smaller than the first task; a machine shard keeps room from it; rows and summaries of different ages.

--- a/alderbridge/controller/core.py
+++ b/alderbridge/controller/core.py
@@ -156,10 +156,10 @@
         )
 
     def _construct_rounds(self) -> None:
-        offer_book = OfferBook(self.directory.spec_of)
         self.preemption = PreemptionRound(
             self.state, self.messenger, self.leader, self.machine_shard, self.record_writer, self.shared.teams
         )
+        offer_book = OfferBook(self.directory.spec_of, self.preemption.may_preempt)
         self.placement_round = PlacementRound(
             self.state,
             self.messenger,
--- a/alderbridge/controller/placement_round.py
+++ b/alderbridge/controller/placement_round.py
@@ -80,6 +80,7 @@
             room_elsewhere,
             functools.partial(self._keeps_room, machine, now),
             now,
+            self.preemption.may_preempt,
         ):
             take = self.machine_shard.reserve(machine, request.job, request.count)
             self.messenger.send(
--- a/alderbridge/controller/preemption_round.py
+++ b/alderbridge/controller/preemption_round.py
@@ -46,6 +46,7 @@
         self.priorities: Callable[[float], list[Any]] = lambda now: self.declared.in_force("priorities", now)
         self.lendings: Callable[[float], list[Any]] = lambda now: self.declared.in_force("lending", now)
         self.rules = PriorityPolicy([])
+        self.rules_refreshed_at = float("-inf")
         self.lender: CapacityLender | None = None
         self.reserved_gpus: dict[str, float] = {}  # machine -> GPUs that lending leaves free, as the leader told last
         self.reserved_gpus_until = float("-inf")
@@ -60,14 +61,24 @@
         """How many of a job's waiting tasks lending makes room for: no machine is rented for these."""
         return self.lender.serves_soon(row, spec) if self.lender is not None else 0
 
+    def may_preempt(self, spec: wire.JobSpec) -> bool:
+        """Whether such a job may ask for others' room by the priorities in force; looked up once a round."""
+        if self.state.now - self.rules_refreshed_at >= constants.ROUND_S:
+            self._refresh_rules()
+        return bool(self.rules.configurations) and self.rules.may_preempt(spec)
+
+    def _refresh_rules(self) -> None:
+        """Take the priorities in force; none while a member runs a version that knows no claims."""
+        self.rules_refreshed_at = self.state.now
+        knows_claims = self.membership.all_support(constants.VERSION_WITH_CONFIGURATION)
+        configurations = self.priorities(self.state.now) if knows_claims else []
+        if configurations != self.rules.configurations:
+            self.rules = PriorityPolicy(configurations)
+
     def policies(self) -> list[PreemptionPolicy]:
         """Who may ask for others' room now; none while a member runs a version that knows no claims."""
-        texts = (
-            self.priorities(self.state.now) if self.membership.all_support(constants.VERSION_WITH_CONFIGURATION) else []
-        )
-        if texts != self.rules.configurations:
-            self.rules = PriorityPolicy(texts)
-        result: list[PreemptionPolicy] = [self.rules] if texts else []
+        self._refresh_rules()
+        result: list[PreemptionPolicy] = [self.rules] if self.rules.configurations else []
         lendings = (
             self.lendings(self.state.now) if self.membership.all_support(constants.VERSION_WITH_CONFIGURATION) else []
         )
--- a/alderbridge/preemption/planner.py
+++ b/alderbridge/preemption/planner.py
@@ -140,6 +140,7 @@
                 return True
         if self.pending and self._all_answered():
             if not self.ledger.busy:
+                self._confirm_demands(now)
                 self._select(wall, teams(), max_changes)
             self.pending = []
         return False
@@ -156,6 +157,15 @@
     def _all_answered(self) -> bool:
         return all(label in self.task_lists and self.task_lists[label][1] >= self.asked_at for label in self.members)
 
+    def _confirm_demands(self, now: float) -> None:
+        """Of the pending demands, what is still there: tasks may have been granted while the shards were asked."""
+        confirmed = []
+        for policy, demands in self.pending:
+            present = {demand.spec.id: demand.count for demand in policy.find_demands(self, now)}
+            counts = [(demand, min(demand.count, present.get(demand.spec.id, 0))) for demand in demands]
+            confirmed.append((policy, [demand._replace(count=count) for demand, count in counts if count > 0]))
+        self.pending = confirmed
+
     def _select(self, wall: float, teams: Teams, max_changes: int) -> None:
         """Choose victims for the pending demands, each machine for one policy."""
         kinds = self._kinds()
--- a/alderbridge/queues/offer_book.py
+++ b/alderbridge/queues/offer_book.py
@@ -10,15 +10,16 @@
 from alderbridge import constants
 from alderbridge.protocol.messages import QueueDelta, QueueRow, QueueSnapshot
 from alderbridge.protocol.wire import JobSpec
-from alderbridge.scheduling.offers import Offer, Offers
+from alderbridge.scheduling.offers import KeepsTurn, Offer, Offers, keep_no_turn
 
 
 class OfferBook:
     """The offers of all job shards under one view."""
 
-    def __init__(self, spec_of: Callable[[str], JobSpec | None]) -> None:
-        """``spec_of``: the description of a job, where its record is known here."""
+    def __init__(self, spec_of: Callable[[str], JobSpec | None], keeps_turn: KeepsTurn = keep_no_turn) -> None:
+        """``spec_of``: the description of a job, where its record is known here; ``keeps_turn``: see ``order``."""
         self.spec_of = spec_of
+        self.keeps_turn = keeps_turn
         self.offers = Offers()
         self.delta_senders: set[str] = set()  # members that send deltas: whole queues of theirs are late frames
         self.unknown: dict[str, dict[str, tuple[QueueRow, float]]] = {}  # member -> job -> row, when it was sent
@@ -57,11 +58,14 @@
         for label, rows in self.unknown.items():
             known = [(row, at, spec) for row, at in rows.values() if (spec := self.spec_of(row.job)) is not None]
             if known:
-                offers = [Offer(label, row, spec, at, constants.PACKING_WAIT_S) for row, at, spec in known]
+                offers = [self._offer(label, row, spec, at) for row, at, spec in known]
                 self.offers.update(label, offers, ())
                 for row, _, _ in known:
                     del rows[row.job]
 
     def _offers_of(self, label: str, rows: Iterable[QueueRow], now: float) -> list[Offer]:
         specs = [(row, self.spec_of(row.job)) for row in rows if row.offer > 0]
-        return [Offer(label, row, spec, now, constants.PACKING_WAIT_S) for row, spec in specs if spec is not None]
+        return [self._offer(label, row, spec, now) for row, spec in specs if spec is not None]
+
+    def _offer(self, label: str, row: QueueRow, spec: JobSpec, now: float) -> Offer:
+        return Offer(label, row, spec, now, constants.PACKING_WAIT_S, self.keeps_turn)
--- a/alderbridge/scheduling/offers.py
+++ b/alderbridge/scheduling/offers.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from alderbridge import constants
 from alderbridge.protocol.messages import QueueRow
@@ -16,16 +16,29 @@
 BOOST_AHEAD_S = 1e9  # s; so far before all deadlines stands what has a priority boost, in the order of its arrival
 
 
-def order(row: QueueRow, spec: JobSpec, due_in_s: float) -> tuple[bool, int, float]:
+KeepsTurn = Callable[[JobSpec], bool]
+
+
+def keep_no_turn(spec: JobSpec) -> bool:
+    """``KeepsTurn`` where no work may preempt other work."""
+    return False
+
+
+def order(
+    row: QueueRow, spec: JobSpec, due_in_s: float, keeps_turn: KeepsTurn = keep_no_turn
+) -> tuple[bool, int, float]:
     """The key by which jobs are sorted: what can still be in time, higher priority, soonest deadline.
 
+    ``keeps_turn``: whether a job goes by priority and deadline though it is late. So does work that may preempt: behind
+    all that can be in time, it saw free room go to that, and others' tasks were stopped for it a moment later.
+
     Work within its team's guarantee need not wait for other teams: it ranks with the highest. A job that others need
     has the priority of the highest of them. Where there is room for all, this is the paper's order.
     """
     rank = _GUARANTEED if row.guaranteed else _GUARANTEED - 1 if row.priority_boost > 1 else max(row.rank, spec.rank)
     if row.priority_boost:
         return False, -rank, -row.waited_s  # before all deadlines, who has waited longest first
-    return row.late, -rank, due_in_s
+    return row.late and not keeps_turn(spec), -rank, due_in_s
 
 
 class Offer:
@@ -33,9 +46,17 @@
 
     __slots__ = ("key", "label", "row", "spec", "left", "young_until", "patient_until")
 
-    def __init__(self, label: str, row: QueueRow, spec: JobSpec, now: float, packing_wait_s: float) -> None:
-        """``label``: of the job's shard; ``now``: when the row was sent, in s."""
-        late, rank, due = order(row, spec, now + row.due_in_s)  # by the clock: it holds while time passes
+    def __init__(
+        self,
+        label: str,
+        row: QueueRow,
+        spec: JobSpec,
+        now: float,
+        packing_wait_s: float,
+        keeps_turn: KeepsTurn = keep_no_turn,
+    ) -> None:
+        """``label``: of the job's shard; ``now``: when the row was sent, in s; ``keeps_turn``: see ``order``."""
+        late, rank, due = order(row, spec, now + row.due_in_s, keeps_turn)  # by the clock: it holds while time passes
         self.key = (late, rank, now + due - BOOST_AHEAD_S) if row.priority_boost else (late, rank, due)
         self.label, self.row, self.spec, self.left = label, row, spec, row.offer
         self.young_until = now - row.waited_s + packing_wait_s  # idle machines leave it to busy ones until then
--- a/alderbridge/scheduling/placement.py
+++ b/alderbridge/scheduling/placement.py
@@ -25,6 +25,9 @@
 # Whether the room that is left stays free for an offer whose tasks it does not hold yet. Smaller tasks took each slot
 # as it came free, and 8-CPU tasks waited for as long as there were any.
 KeepsRoom = Callable[[Offer], bool]
+# Whether tasks of a job may use room that is kept for others: work for which others' work may be stopped. Kept from it,
+# the room stayed idle while others' tasks were stopped for it.
+MayUseKept = Callable[[JobSpec], bool]
 _Shape = tuple[float, float, float, bool, str | None, tuple[str, ...]]  # what decides where a task may run
 
 
@@ -106,6 +109,10 @@
     return False
 
 
+def _may_not_use_kept(spec: JobSpec) -> bool:
+    return False
+
+
 def fill(
     machine: Candidate,
     offers: Offers,
@@ -113,6 +120,7 @@
     room_elsewhere: RoomElsewhere,
     keep: KeepsRoom = _keep_nothing,
     now: float = math.inf,
+    may_use_kept: MayUseKept = _may_not_use_kept,
 ) -> list[PlacementRequest]:
     """What to ask for, for one machine; takes it off ``left``. ``fetch_s``: of an image, zero where it is there."""
     requests: list[PlacementRequest] = []
@@ -131,6 +139,7 @@
             continue
         if spec.cpus > room[0] + 1e-9 or spec.memory_gb > room[1] + 1e-9 or spec.gpus > room[2] + 1e-9:
             if now >= offer.patient_until and keep(offer):
+                _request_kept(machine, offers, room, room_elsewhere, may_use_kept, requests)
                 return requests
             continue
         zone = offer.row.zone
@@ -157,6 +166,26 @@
     return minus(room, offer.spec, count)
 
 
+def _request_kept(
+    machine: Candidate,
+    offers: Offers,
+    room: Resources,
+    room_elsewhere: RoomElsewhere,
+    may_use_kept: MayUseKept,
+    requests: list[PlacementRequest],
+) -> None:
+    """Ask for those tasks that may use the room though it is kept, whatever their images."""
+    for *_, offer in offers.in_order():
+        zone = offer.row.zone
+        if (
+            offer.left > 0
+            and may_use_kept(offer.spec)
+            and allowed(offer.spec, machine.type, machine.zone, machine.spot)
+            and zone in (None, machine.zone)
+        ):
+            room = _request(machine, offer, room, room_elsewhere, requests)
+
+
 def _request_rest(
     machine: Candidate,
     later: list[Entry],
