--- a/tests/test_claims_beside_free_room.py
+++ b/tests/test_claims_beside_free_room.py
@@ -2,10 +2,10 @@
 
 What happened: in 12 of seeds 100 to 199 of the test world without faults a claim was made for an urgent job beside room
 that had been free for four seconds. Why, by what leader and machine shards knew at each (table in
-``docs/incidents/claims-beside-free-room.md``): 10 times the urgent job was late, and so behind all jobs in time; once it
-was behind a job with a turn. The leader's walk cuts machines into slots of the size of the first task, so 1 to 3 free
-CPUs on up to seven machines were no room; and a machine shard kept some of it for the larger job. Once the tasks had
-been granted a moment before, and the row that said they waited was older.
+``docs/incidents/claims-beside-free-room.md``): 10 times the urgent job was late, and so behind all jobs in time; once
+it was behind a job with a turn. The leader's walk cuts machines into slots of the size of the first task, so 1 to 3
+free CPUs on up to seven machines were no room; and a machine shard kept some of it for the larger job. Once the tasks
+had been granted a moment before, and the row that said they waited was older.
 """
 
 from collections import Counter
