--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -669,3 +669,8 @@
     assert play(103, random_faults=False, falls_in_claims=False).made > 0
     monkeypatch.setattr(LendWorld, "prepare", lambda self, core: None)
     assert play(101, random_faults=False, falls_in_claims=False).made == 0
+
+
+def test_lending_leaves_another_team_its_guarantee_in_a_calm_run(gpus):
+    """Of seeds 100 to 129 without faults, 107 stops tasks of a team though that is then below its guarantee."""
+    assert play(107, random_faults=False, falls_in_claims=False).starts > 0
