--- a/tests/test_team_limit_large_jobs.py
+++ b/tests/test_team_limit_large_jobs.py
@@ -1,11 +1,11 @@
 """The largest job of a team at its limit begins within four minutes, though smaller ones take each CPU that comes free.
 
-What happens: a job of 8-CPU tasks of a team limited to 16 CPUs never begins while small jobs of the team come. Why, by
-the leader's rows and quotas: once it is late it is last in the order by which the leader divides the team's limit
-(``QuotaAllocator._demands``), so jobs in time take what comes free and nothing is left to be reserved for it. Its job shard
-has less than one task's quota, so it offers nothing (``offer`` 0), and a job without an offer gets no priority boost
-(``JobQueue._priority_boost``), which is what would put it first. Nor is a machine rented for it: by the team's limit it
-asks for none. And small jobs of its own shard use what the shard is given, whomever it was meant for.
+What happens: a job of 8-CPU tasks of a team limited to 16 CPUs never begins while small jobs of the team come. Why,
+by the leader's rows and quotas: once it is late it is last in the order by which the leader divides the team's limit
+(``QuotaAllocator._demands``), so jobs in time take what comes free and nothing is left to be reserved for it. Its job
+shard has less than one task's quota, so it offers nothing (``offer`` 0), and a job without an offer gets no priority
+boost (``JobQueue._priority_boost``), which is what would put it first. Nor is a machine rented for it: by the team's
+limit it asks for none. And small jobs of its own shard use what the shard is given, whomever it was meant for.
 """
 
 import pytest
--- a/tests/test_write_classes.py
+++ b/tests/test_write_classes.py
@@ -19,6 +19,7 @@
 from alderbridge.controller.admission import Admission
 from alderbridge.jobs.record import JobState, Record
 from alderbridge.protocol.keys import JOBS, MACHINES
+from alderbridge.state.write_classes import ASSURED_SHARES, AssuredRates, WriteClass
 
 START_WITHIN_S = 60.0  # the aim: work starts within a minute of a first machine that is up
 WINDOW_S = 10.0  # "some seconds": within each such window every class that waits makes progress
@@ -167,3 +168,48 @@
     assert world.first_start - world.first_up < START_WITHIN_S
     world.check_progress(since=40.0 + constants.CONTACT_TIMEOUT_S + constants.VIEW_SETTLE_S)
     world.check_nothing_forgotten()
+
+
+def test_submissions_and_machines_make_progress_in_a_flood_of_ends():
+    world = Flood(13)
+    world.run(45.0)
+    active = [job for sim in world.nodes.values() for job in sim.core.job_shard.jobs]
+    assert len(active) > 60, "more than five seconds of all changes"
+    for job in active:
+        world.withdraw(job)
+    world.run(75.0)
+    world.check_progress(since=45.0)
+
+
+def test_assured_rates_are_in_proportion_and_not_saved_up():
+    now, rates = 100.0, AssuredRates(10.0, 100.0)
+    made = dict.fromkeys(WriteClass, 0)
+    for _ in range(2000):  # 20 s in which all classes wait
+        now += 0.01
+        for write_class in WriteClass:
+            count = rates.available(write_class, True, now)
+            rates.spend(write_class, now, count)
+            made[write_class] += count
+    for write_class, share in ASSURED_SHARES.items():
+        assert abs(made[write_class] - 200 * share) <= 2, made
+    assert sum(ASSURED_SHARES.values()) <= 1.0, "what is assured can be kept"
+    assert rates.available(WriteClass.SUBMISSION, False, now + 60.0) == 0, "it did not wait"
+    assert rates.available(WriteClass.SUBMISSION, True, now + 60.1) == 0
+    assert rates.available(WriteClass.SUBMISSION, True, now + 120.0) == 1, "no burst of what others had meanwhile"
+
+
+def test_a_submission_that_could_not_be_stored_in_time_is_answered_at_once():
+    world = Rooms(14, write_rps=10.0)
+    world.run(5.0)
+    core = world.nodes["host-1"].core
+    answers = []
+    for number in range(20):
+        decision = admission.decide(core, array(number), world.t, False)
+        answers.append(decision.admission)
+        if decision.admission is Admission.ADMITTED:
+            core.submissions.submit(array(number), world.t, world.t)
+    taken = answers.count(Admission.ADMITTED)
+    assert 4 <= taken <= 7 and answers[taken:] == [Admission.UNAVAILABLE] * (20 - taken)
+    assert admission.decide(core, array(0), world.t, False).admission is Admission.ADMITTED, "it waits here already"
+    world.run(world.t + constants.SUBMIT_WAIT_S)
+    assert admission.decide(core, array(19), world.t, False).admission is Admission.ADMITTED
