--- a/tests/test_write_classes.py
+++ b/tests/test_write_classes.py
@@ -9,6 +9,7 @@
 """
 
 import math
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -19,6 +20,7 @@
 from alderbridge.controller.admission import Admission
 from alderbridge.jobs.record import JobState, Record
 from alderbridge.protocol.keys import JOBS, MACHINES
+from alderbridge.protocol.store import MachineRecord
 from alderbridge.state.write_classes import ASSURED_SHARES, AssuredRates, WriteClass
 
 START_WITHIN_S = 60.0  # the aim: work starts within a minute of a first machine that is up
@@ -213,3 +215,26 @@
     assert admission.decide(core, array(0), world.t, False).admission is Admission.ADMITTED, "it waits here already"
     world.run(world.t + constants.SUBMIT_WAIT_S)
     assert admission.decide(core, array(19), world.t, False).admission is Admission.ADMITTED
+
+
+@pytest.mark.parametrize("level", (1.0, 6.0, 12.0, 30.0))
+def test_no_transaction_makes_more_changes_than_there_is_room_for(level):
+    """What is assured came on top of the machines' room: 14 changes where the store takes 12."""
+    world = Rooms(15)
+    world.run(5.0)
+    core = world.nodes["host-1"].core
+    writer, now = core.record_writer, world.t
+    for number in range(20):
+        core.machine_shard.machines[f"n-9{number:05d}"] = SimpleNamespace(record=MachineRecord())
+        core.machine_shard.records.to_write.append(f"n-9{number:05d}")
+        core.machine_records.to_drop.append(f"n-8{number:05d}")
+    for number in range(5):
+        core.submissions.submit(array(number), now, now)
+    for bucket in writer.write_rate_limit.assured._buckets.values():  # all have waited for long
+        bucket.level, bucket.at = 1.0, now
+    writer.write_rate_limit.budget.change(level, level, now)
+    writer.write_rate_limit.budget.level = level
+    ahead = int(level + constants.WRITE_AHEAD_SHARE * level)
+    batch = writer.next_batch(now)
+    assert batch is not None and batch.machines and (batch.submissions or level == 1.0)
+    assert batch.changes == len(batch.puts) + len(batch.drops) <= min(writer.max_changes, ahead)
