Records: what is assured counts against the room of a transaction

Symptom: up to 14 changes in a transaction where the store takes 12, refused as too large, after which all are halved. Cause: records of machines were added up to their own room on top of what is assured to other classes.

--- a/alderbridge/controller/record_writer.py
+++ b/alderbridge/controller/record_writer.py
@@ -223,8 +223,10 @@
         """Records of machines and jobs, and drops: first what is assured to each class, then the rest in order."""
         self._log_shortage(room, urgent, progress)
         self._add_assured(batch, room, urgent, progress)
-        self._add_machine_records(batch, room.plain)
-        self._reserve_machine_drops(batch, room, len(urgent))
+        others = batch.changes - len(batch.machines)
+        self._add_machine_records(batch, min(room.plain, room.most - others))
+        still_urgent = sum(JOBS + entry_id(entry) not in batch.conditions for entry in urgent)
+        self._reserve_machine_drops(batch, room, still_urgent)
         for number, entry in enumerate([*urgent, *progress]):
             if batch.changes >= (room.most if number < len(urgent) else room.plain):
                 break
@@ -296,7 +298,7 @@
         Before the progress of running jobs, which alone may take all of the budget for as long as the fleet is busy:
         each record left behind by a machine that is gone holds up the inherited tasks of every later view.
         """
-        left = min((room.plain - len(batch.machines) + 1) // 2, room.most - len(batch.machines) - urgent)
+        left = min((room.plain - len(batch.machines) + 1) // 2, room.most - len(batch.puts) - urgent)
         if left > len(batch.dropped_machines):
             batch.dropped_machines = self.machine_records.to_drop[:left]
 
