--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -35,9 +35,6 @@
 JOIN_QUIET_S = 0.3
 JOIN_MAX_S = 1.2  # s; a newcomer waits no longer than this for others
 VIEW_SETTLE_S = 3.0  # s; a view is settled within this when its members are in reach: bounds what waits for it
-# s; a failed member is removed this much later while others are suspected: members that are cut off together are last
-# heard up to a probe apart, and one that is left in the view is waited for as long as it may act under the one before
-FAILURE_QUIET_MAX_S = 2.5
 LEADER_PRECEDENCE_S = 1.0  # s; lower labels get this head start in taking the lead
 
 # --- rounds ----------------------------------------------------------------
--- a/alderbridge/membership/election.py
+++ b/alderbridge/membership/election.py
@@ -27,7 +27,6 @@
     def __init__(self, membership: Membership) -> None:
         """``membership``: whose next view is decided on."""
         self.membership = membership
-        self.failed_since: float | None = None  # s; since when a quorum has declared a member failed
         self.leaderless_since: float | None = None  # s; since when a lead that others have precedence for is free
         self.joining: dict[str, int] = {}  # the members to be, as the last call found them
         self.joining_since = float("-inf")  # s; since when they differ from the view's
@@ -43,7 +42,7 @@
         if not self._may_propose(now):
             return None
         failed = self._failed_members(max_removed)
-        if self.membership.me in failed or self._awaits_more_failures(bool(failed), now):
+        if self.membership.me in failed:
             return None
         alive = self._alive_members(failed)
         view = self._contact_view(alive, now) or self._member_view(alive, bool(failed), now)
@@ -65,21 +64,6 @@
         )
         return failed[:max_removed]
 
-    def _awaits_more_failures(self, has_failed: bool, now: float) -> bool:
-        """Whether another member is about to fail as well: those that are cut off together go in one view.
-
-        A member left in the view though it is silent may not know that view, and act under the one before. It can't be
-        removed before a store lease has run out, and until then its workers are sent from one member to the next
-        (docs/incidents/removed-one-by-one.md).
-        """
-        if not has_failed:
-            self.failed_since = None
-            return False
-        if self.failed_since is None:
-            self.failed_since = now
-        is_pending = self.membership.failure_detector.is_failure_pending()
-        return is_pending and now - self.failed_since < constants.FAILURE_QUIET_MAX_S
-
     def _alive_members(self, failed: list[str]) -> dict[str, int]:
         """Who is to take part: label -> lease id."""
         excluded = self.membership.failure_detector.excluded
--- a/alderbridge/membership/failure_detector.py
+++ b/alderbridge/membership/failure_detector.py
@@ -212,15 +212,6 @@
         """Members that have failed to this one; told to the others."""
         return [label for label, peer in self.peers.items() if peer.state is PeerState.FAILED]
 
-    def is_failure_pending(self) -> bool:
-        """Whether a member that no quorum has declared failed is suspected here, or by a member that is alive."""
-        undecided = self.peers.keys() - self.failed_by_quorum()
-        return any(
-            not self.is_alive(label)
-            or any(peer.state is PeerState.ALIVE and label in peer.suspected_peers for peer in self.peers.values())
-            for label in undecided
-        )
-
     def failed_by_quorum(self) -> set[str]:
         """Members that a quorum has declared failed: they act no more under this fencing token."""
         return {label for label, by in self.failed_by.items() if len(by) >= self.quorum_size}
