Log: what a grant rests on, adoptions, task proofs and outdated heartbeats

Records of an incident (wrong_place in a job of one zone) could not tell which runs the job's owner believed in, from which report, and what it had read from the state service. At debug: the limits of each task request, adopted tasks with the report that showed them, tasks returned to waiting by a report, the heartbeat that acknowledges a view, refused outdated heartbeats, and each answer of the state service that brought changes. At warning, once a job: runs of a one-zone job in two zones. No decision changes; the lines' arguments are formatted only at their level.

--- a/alderbridge/controller/loops/replica.py
+++ b/alderbridge/controller/loops/replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 
 import curio
@@ -14,6 +15,7 @@
 from alderbridge.state.errors import WatchCompactedError
 from alderbridge.state.store import Store
 
+log = logging.getLogger("core")
 now = time.monotonic
 
 
@@ -46,6 +48,13 @@
             self.record_watch_answer(requested_at)
             self.core.store_follower.apply_events(changes.events, now(), time.time())
             self.core.replica.revision = max(self.core.replica.revision, changes.revision)
+            if changes.events:
+                log.debug(
+                    "replica state=changed revision=%d changes=%d requested=%.3f s ago",
+                    changes.revision,
+                    len(changes.events),
+                    now() - requested_at,
+                )
             await self.prober.probe_workers()
             await curio.sleep(constants.WATCH_DELAY_S)
 
--- a/alderbridge/jobs/grants.py
+++ b/alderbridge/jobs/grants.py
@@ -45,13 +45,16 @@
         """Respond with a grant, empty if no task may start; ``may_act``: this controller may act under the view."""
         job = self.jobs.get(request.job)
         tasks: list[tuple[int, int]] = []
-        gate = self.job_calendars.gate  # the calendar may have closed since the queue row offered the tasks
-        is_closed = job is not None and gate is not None and not gate.may_start(job.spec)
-        if job is None or not may_act or job.is_blocked or is_closed:
+        refusal = self._refusal_cause(job, may_act)
+        if job is None or refusal:
+            log.debug("job=%s state=not_granted machine=%s cause=%s", request.job, request.machine, refusal)
             self.send(label, TaskGrant(request.request_id, request.job, request.machine, tasks))
             return
         runs = []
-        count = min(request.count, job.remaining_in_zone(request.zone), self.remaining_quota_tasks(job))
+        zone_tasks, quota_tasks = job.remaining_in_zone(request.zone), self.remaining_quota_tasks(job)
+        count = min(request.count, zone_tasks, quota_tasks)
+        if log.isEnabledFor(logging.DEBUG):
+            self._log_limits(request, job, zone_tasks, quota_tasks)
         while len(tasks) < count:
             index = job.next_task(now)
             if index is None:
@@ -61,7 +64,7 @@
             job.grant(index, run)
             self.jobs_by_machine.setdefault(run.machine, set()).add(job.spec.id)
             runs.append(run)
-            log.debug("task=%s/%d state=granted machine=%s", job.spec.id, index, request.machine)
+            log.debug("task=%s/%d state=granted machine=%s attempt=%d", job.spec.id, index, request.machine, attempt)
             tasks.append((index, attempt))
         seq = self.send(label, TaskGrant(request.request_id, request.job, request.machine, tasks))
         if runs:
@@ -69,6 +72,34 @@
         for run in runs:
             run.seq = seq
 
+    def _refusal_cause(self, job: Job | None, may_act: bool) -> str:
+        """Why no task of the job may start at present, whatever the machine; empty if tasks may start."""
+        if job is None:
+            return "not owned here"
+        if not may_act:
+            return "may not act"
+        if job.is_blocked:
+            return "blocked"
+        gate = self.job_calendars.gate  # the calendar may have closed since the queue row offered the tasks
+        return "calendar closed" if gate is not None and not gate.may_start(job.spec) else ""
+
+    def _log_limits(self, request: TaskRequest, job: Job, zone_tasks: int, quota_tasks: int) -> None:
+        """Log what a grant rests on, also if it is empty: runs by zone, and tasks that zone and quota allow."""
+        log.debug(
+            "job=%s state=requested machine=%s zone=%s fencing_token=%d requested=%d zone_tasks=%d quota_tasks=%d "
+            "waiting=%d inherited=%d runs=%s",
+            request.job,
+            request.machine,
+            request.zone,
+            self.fencing_token,
+            request.count,
+            zone_tasks,
+            quota_tasks,
+            job.waiting,
+            len(job.inherited_tasks),
+            job.runs_by_zone(),
+        )
+
     def _next_attempt(self, job: Job) -> int:
         """A new attempt number; concurrent tasks of a gang share one number, by which they find each other."""
         if job.spec.gang and job.runs:
--- a/alderbridge/jobs/job_tasks.py
+++ b/alderbridge/jobs/job_tasks.py
@@ -5,6 +5,7 @@
 import heapq
 import logging
 import math
+from collections import Counter
 
 from alderbridge.jobs.index_ranges import IndexRanges
 from alderbridge.jobs.record import JobState, Record
@@ -46,6 +47,7 @@
         self.tasks_by_machine: dict[str, set[int]] = {}  # machine -> indexes of the tasks whose run is on it
         self.tally: UsageTally | None = None  # of the owning shard; None: the job is in no shard
         self.has_started = bool(record.done)  # whether any task was observed running or done; logged once
+        self.zone_conflict_logged = False  # whether runs of a one-zone job were reported in two zones; logged once
 
     @property
     def waiting(self) -> int:
@@ -81,6 +83,10 @@
         zones = {run.zone for run in self.runs.values()}
         return True, next(iter(zones), None)
 
+    def runs_by_zone(self) -> dict[str, int]:
+        """Number of runs in each zone that has any, in the order of the zones' names."""
+        return dict(sorted(Counter(run.zone for run in self.runs.values()).items()))
+
     def remaining_in_zone(self, zone: str) -> int:
         """How many more tasks the placement rules of the job allow in the zone now."""
         may_grant, only_zone = self.allowed_zone()
@@ -105,6 +111,8 @@
         self.grant(index, run)
         if not self.has_started and run.state is TaskState.RUNNING:
             self._record_first_start("a task of it runs already")
+        if self.spec.one_zone and not self.zone_conflict_logged and len(self.runs_by_zone()) > 1:
+            self._log_zone_conflict(index, run)
 
     def progress(self, index: int, state: TaskState) -> None:
         """Set the reported state of the task's run."""
@@ -123,6 +131,19 @@
         self.has_started = True
         log.info("job=%s state=started cause=%s", self.spec.id, cause)
 
+    def _log_zone_conflict(self, index: int, run: TaskRun) -> None:
+        """Warn that reports place runs of this one-zone job in more than one zone."""
+        self.zone_conflict_logged = True
+        log.warning(
+            "job=%s state=zone_conflict zones=%s task=%d machine=%s zone=%s attempt=%d",
+            self.spec.id,
+            self.runs_by_zone(),
+            index,
+            run.machine,
+            run.zone,
+            run.attempt,
+        )
+
     def _add_to_tally(self, change: int) -> None:
         if self.tally is not None:
             self.tally.add(self.spec, change)
--- a/alderbridge/jobs/task_reports.py
+++ b/alderbridge/jobs/task_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 from alderbridge.jobs.inherited_tasks import InheritedTasks
@@ -17,6 +18,8 @@
 )
 from alderbridge.reconciliation import Action, ObservedState, RecordedState, reconcile
 
+log = logging.getLogger("jobs")
+
 # Indexed by action: whether a finished task is acknowledged, whether a live one is stopped.
 _ACKNOWLEDGES = tuple(
     action in (Action.ACKNOWLEDGE, Action.REQUEUE_AND_ACKNOWLEDGE, Action.FAIL_AND_ACKNOWLEDGE) for action in Action
@@ -96,6 +99,7 @@
                 continue
             for index in [*indexes]:
                 if (name, index) not in present and job.runs[index].seq <= report.processed_seq:
+                    log.debug("task=%s/%d state=waiting cause=not on its machine machine=%s", name, index, machine)
                     job.requeue(index)
         if not machine_jobs:
             del self.jobs_by_machine[machine]
@@ -147,6 +151,16 @@
         if action is Action.PROGRESS or action is Action.PROGRESS_AND_STOP:
             job.progress(index, LIVE_TASK_STATES.get(task.status, TaskState.RUNNING))
         elif action is Action.ADOPT or action is Action.ADOPT_AND_STOP:
+            log.debug(
+                "task=%s/%d state=adopted machine=%s zone=%s attempt=%d status=%s recorded=%s",
+                task.job,
+                index,
+                report.machine,
+                report.zone,
+                task.attempt,
+                task.status,
+                job.state_of(index).value,
+            )
             job.adopt(index, self._observed_run(report, task, now))
             self.jobs_by_machine.setdefault(report.machine, set()).add(task.job)
         elif action is Action.FINISH:
--- a/alderbridge/machines/heartbeats.py
+++ b/alderbridge/machines/heartbeats.py
@@ -61,6 +61,12 @@
             machine = self._add_machine(heartbeat.machine, now)
         sequence_key = (heartbeat.incarnation, heartbeat.sequence)
         if sequence_key <= machine.last_sequence or machine.state is MachineState.TERMINATED:
+            log.debug(
+                "machine=%s state=refused cause=outdated heartbeat incarnation=%d sequence=%d newest=%s",
+                machine.name,
+                *sequence_key,
+                machine.last_sequence,
+            )
             return None
         machine.last_sequence, machine.last_heartbeat_at = sequence_key, now
         machine.type, machine.zone, machine.spot = heartbeat.type, heartbeat.zone, heartbeat.spot
@@ -119,7 +125,12 @@
         machine.prior_view.unconfirmed.clear()  # this heartbeat shows whether the older orders were carried out
         self.view.reconciliation.acknowledge(machine.name)
         self.records.request_write(machine)
-        log.debug("machine=%s state=up cause=acknowledged fencing_token=%d", machine.name, self.view.fencing_token)
+        log.debug(
+            "machine=%s state=up cause=acknowledged fencing_token=%d incarnation=%d sequence=%d",
+            machine.name,
+            self.view.fencing_token,
+            *machine.last_sequence,
+        )
 
     def _apply(self, machine: Machine, heartbeat: Heartbeat, is_first: bool, now: float) -> None:
         """Update tasks and orders from a heartbeat with the view's fencing token.
