Machines: a heartbeat that arrives after its lease expired shows nothing

Cause: action on stale knowledge. A machine shard concludes that a worker's lease has expired, its tasks return to waiting and start elsewhere. Then a heartbeat arrives that the worker sent before its lease ended (held back by a partition on an open connection, or a copy). It is newer than any before and bears the view's fencing token, so the machine was up again with tasks that the worker had killed, the job's owner adopted those that waited, and for up to five seconds, until the worker's next incarnation was heard, took the job to run in two zones. Old heartbeats were refused only after a newer incarnation had been heard.

Change: an expiry records the newest incarnation that it has ended (LeaseEvidence.expired_incarnation, carried into later views); heartbeats of it or older ones are answered 503. New log line with a count: machine=X state=refused cause=heartbeat of an expired incarnation.

Tests: test_store_outage let an expired machine return with the same incarnation, which its lease rules out; it now also asserts that this one is refused, and that the next one returns as before.

--- a/alderbridge/machines/heartbeats.py
+++ b/alderbridge/machines/heartbeats.py
@@ -48,11 +48,13 @@
         self.order_builder = order_builder
         self.owner_reports = owner_reports
         self.task_outcomes = task_outcomes
+        self.expired_heartbeats = 0  # heartbeats refused since the process started, as their incarnation had ended
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> Machine | None:
         """Apply a heartbeat and return its machine; None if the heartbeat must not be answered with 200.
 
-        Heartbeats that are not newer than the last one, and those of terminated machines, are rejected.
+        Heartbeats that are not newer than the last one, those of terminated machines, and those of an incarnation whose
+        lease has expired are rejected.
         """
         machine = self.machines.get(heartbeat.machine)
         if machine is None:
@@ -68,6 +70,8 @@
                 machine.last_sequence,
             )
             return None
+        if self._refuse_if_expired(machine, heartbeat):
+            return None
         machine.last_sequence, machine.last_heartbeat_at = sequence_key, now
         machine.type, machine.zone, machine.spot = heartbeat.type, heartbeat.zone, heartbeat.spot
         machine.address = heartbeat.address
@@ -82,6 +86,27 @@
         self._apply(machine, heartbeat, is_first, now)
         return machine
 
+    def _refuse_if_expired(self, machine: Machine, heartbeat: Heartbeat) -> bool:
+        """Refuse a heartbeat that was sent before the lease of its incarnation expired; returns whether it was.
+
+        No task is ordered on an expired machine before a heartbeat of a newer incarnation. So one that shows tasks is
+        of an ended incarnation, also if this process has not heard that one before.
+        """
+        lease = machine.lease
+        if machine.state is MachineState.EXPIRED and heartbeat.tasks:
+            lease.expired_incarnation = max(lease.expired_incarnation, heartbeat.incarnation)
+        if heartbeat.incarnation > lease.expired_incarnation:
+            return False
+        self.expired_heartbeats += 1
+        log.info(
+            "machine=%s state=refused cause=heartbeat of an expired incarnation incarnation=%d sequence=%d refused=%d",
+            machine.name,
+            heartbeat.incarnation,
+            heartbeat.sequence,
+            self.expired_heartbeats,
+        )
+        return True
+
     def on_probe_answer(self, heartbeat: Heartbeat, now: float) -> None:
         """Apply the heartbeat that answers a probe (an empty ``/commands`` request).
 
@@ -113,7 +138,7 @@
         them run for one more heartbeat.
         """
         self.view.reconciliation.record_report(machine.name)
-        self.leases.check_unrenewed(machine, heartbeat.fencing_token, now)
+        self.leases.check_unrenewed(machine, heartbeat, now)
         tasks = ((_task_key(task.task_id), task) for task in heartbeat.tasks)
         self.order_builder.stop_cancelled(machine, {key: (task.attempt, task.status) for key, task in tasks if key[0]})
 
--- a/alderbridge/machines/leases.py
+++ b/alderbridge/machines/leases.py
@@ -19,6 +19,7 @@
 from alderbridge.machines.machine import Machine, MachineState
 from alderbridge.machines.owner_reports import OwnerReports
 from alderbridge.machines.records import MachineRecords
+from alderbridge.protocol.wire import Heartbeat
 
 log = logging.getLogger("machines")
 
@@ -84,18 +85,19 @@
             if not self._has_expired(since, now):
                 self.oldest_lease_start = min(self.oldest_lease_start, since)
             else:
-                self._expire(machine, f"silent for {now - machine.last_heartbeat_at:.1f} s")
+                cause = f"silent for {now - machine.last_heartbeat_at:.1f} s"
+                self._expire(machine, cause, machine.last_sequence[0])
 
-    def check_unrenewed(self, machine: Machine, fencing_token: int, now: float) -> None:
+    def check_unrenewed(self, machine: Machine, heartbeat: Heartbeat, now: float) -> None:
         """Expire a machine whose heartbeats show that no response has renewed its lease.
 
-        Called for a new heartbeat with an older fencing token, before it is answered. A worker has only one heartbeat
-        in flight and sends the highest token it has accepted, so no response with a higher token to an earlier
-        heartbeat has been or will be accepted. This covers machines that send heartbeats but receive no responses:
-        they never become silent, and their tasks could otherwise not be restarted elsewhere.
+        Called for a new ``heartbeat`` with an older fencing token, before it is answered. A worker has only one
+        heartbeat in flight and sends the highest token it has accepted, so no response with a higher token to an
+        earlier heartbeat has been or will be accepted. This covers machines that send heartbeats but receive no
+        responses: they never become silent, and their tasks could otherwise not be restarted elsewhere.
         """
         lease = machine.lease
-        if fencing_token >= lease.renewed_token:  # it accepted a response of a view since then
+        if heartbeat.fencing_token >= lease.renewed_token:  # it accepted a response of a view since then
             lease.renewed_at, lease.renewed_token = now, self.view.fencing_token
         elif (
             not machine.acknowledged
@@ -104,7 +106,10 @@
         ):
             since = max(lease.renewed_at, machine.lease.exclusive_since)
             if self._has_expired(since, now):
-                self._expire(machine, f"no answer accepted for {now - since:.1f} s")
+                # Without an accepted response it can't have been given a task since: one that shows none may already be
+                # of the incarnation that followed.
+                incarnation = heartbeat.incarnation if heartbeat.tasks else heartbeat.incarnation - 1
+                self._expire(machine, f"no answer accepted for {now - since:.1f} s", incarnation)
 
     def _has_expired(self, since: float, now: float) -> bool:
         """Whether a lease that no member of this view has renewed after ``since`` has provably expired.
@@ -115,9 +120,9 @@
         lease_s = self.lease_s * (1 + 2 * constants.MAX_CLOCK_DRIFT)
         return now - since > lease_s + constants.LEASE_EXPIRY_MARGIN_S and self.no_newer_view_until - since > lease_s
 
-    def _expire(self, machine: Machine, cause: str) -> None:
+    def _expire(self, machine: Machine, cause: str, incarnation: int) -> None:
         log.info("machine=%s state=expired cause=%s", machine.name, cause)
-        machine.expire()
+        machine.expire(incarnation)
         self.view.reconciliation.mark_expired(machine.name)
         self.owner_reports.send(machine)
         self.records.drop(machine)
--- a/alderbridge/machines/machine.py
+++ b/alderbridge/machines/machine.py
@@ -67,7 +67,7 @@
     shows that the worker has accepted a response since then; one with an older token shows that it has not.
     """
 
-    __slots__ = ("exclusive_since", "renewed_at", "renewed_token")
+    __slots__ = ("exclusive_since", "expired_incarnation", "renewed_at", "renewed_token")
 
     def __init__(self, renewed_at: float) -> None:
         """``renewed_at``: any controller may have renewed the lease until this time."""
@@ -75,6 +75,8 @@
         self.exclusive_since: float | None = None
         self.renewed_at = renewed_at
         self.renewed_token = 0
+        # Newest incarnation of the worker that has provably ended: its heartbeats show nothing any more.
+        self.expired_incarnation = 0
 
 
 class MachineOrders:
@@ -171,6 +173,7 @@
         self.address = previous.address or self.address
         self.images = previous.images
         self.last_sequence = previous.last_sequence
+        self.lease.expired_incarnation = previous.lease.expired_incarnation
         self.idle_since = previous.idle_since
         if previous.state is MachineState.DRAINING:
             self.drain()
@@ -204,9 +207,13 @@
         if self.state in (MachineState.UP, MachineState.EXPECTED):
             self.state = MachineState.DRAINING
 
-    def expire(self) -> None:
-        """Record that the worker's lease has provably expired: no task is left on the machine."""
+    def expire(self, incarnation: int) -> None:
+        """Record that the worker's lease has provably expired: no task is left on the machine.
+
+        ``incarnation``: the newest one that this expiry has ended.
+        """
         self.state = MachineState.EXPIRED
+        self.lease.expired_incarnation = max(self.lease.expired_incarnation, incarnation)
         self.idle_since = None
         self._clear_tasks()
 
--- a/tests/simulation/one_zone.py
+++ b/tests/simulation/one_zone.py
@@ -6,14 +6,16 @@
 
 import msgspec
 
+from alderbridge.controller.core import ControllerCore
 from alderbridge.protocol import wire
 from simulation.deployment import LEASE_S, ZONES
+from simulation.errors import Broken
 from simulation.world import World
 
 MACHINES = 24
 JOBS = 40
 SUBMITTED_WITHIN_S = 150.0
-FAULTS_FROM_S, FAULTS_UNTIL_S = 30.0, 150.0
+FAULTS_FROM_S, FAULTS_UNTIL_S, LONGEST_FAULT_S = 30.0, 150.0, 40.0
 LEADER_DOWNTIME_S = 7.0
 
 
@@ -36,7 +38,21 @@
         for _ in range(rng.randint(2, 4)):
             self.after(rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S), self.partition_machines)
         for kind in rng.sample(["late_reports", "reports_kept", "hang", "deaf", "mute", "held_up"], 2):
-            self.after(rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S), self.inject_concurrent, kind, rng.uniform(5.0, 40.0))
+            self.after(
+                rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S),
+                self.inject_concurrent,
+                kind,
+                rng.uniform(5.0, LONGEST_FAULT_S),
+            )
+        self.has_concurrent_faults = True  # jobs that wait beside free capacity are checked for
+        self.faults_end_at = FAULTS_UNTIL_S + LONGEST_FAULT_S
+
+    def check_bookkeeping(self, core: ControllerCore) -> None:
+        """Also checks that no report has placed runs of a one-zone job in two zones."""
+        super().check_bookkeeping(core)
+        for name, job in core.job_shard.jobs.items():
+            if job.zone_conflict_logged:
+                raise Broken(f"zone_conflict: {name} at {self.t:.2f}")
 
     def make_one_zone_job(self, number: int) -> wire.JobSpec:
         """An array whose tasks must keep to one zone, and may run on any machine of it."""
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -42,8 +42,10 @@
     return shard, sent
 
 
-def heartbeat(shard, sequence, tasks=()):
-    shard.heartbeats.on_heartbeat(Heartbeat("n-1", "x", "c4", 1, sequence, 5, "a", tasks=list(tasks)), float(sequence))
+def heartbeat(shard, sequence, tasks=(), incarnation=1):
+    shard.heartbeats.on_heartbeat(
+        Heartbeat("n-1", "x", "c4", incarnation, sequence, 5, "a", tasks=list(tasks)), float(sequence)
+    )
 
 
 def test_job_owners_get_one_report_on_a_machine_and_then_only_changes():
--- a/tests/test_one_zone_jobs.py
+++ b/tests/test_one_zone_jobs.py
@@ -2,7 +2,8 @@
 
 import msgspec
 import pytest
-from simulation import LEASE_S, SimWorker, World
+from simulation import LEASE_S, ROOM_S, SimWorker, World
+from simulation.one_zone import OneZoneWorld
 from test_machine_proofs import LEASE_EXPIRY_PROOF_S, RUNNING, MachineShardHarness
 
 from alderbridge.jobs.job_tasks import JobTasks
@@ -64,6 +65,13 @@
         assert len(world.completed) == TASKS
 
 
+@pytest.mark.parametrize("seed", (10, 11, 15, 24, 25, 35, 40, 42, 44, 50, 100, 101))
+def test_one_zone_jobs_keep_to_a_zone_and_wait_for_no_proof_for_ever(seed):
+    world = OneZoneWorld(seed)
+    world.run(world.faults_end_at + ROOM_S + 10.0)
+    assert world.task_starts > 0
+
+
 def test_a_late_heartbeat_of_an_expired_incarnation_shows_no_tasks():
     harness = MachineShardHarness()
     harness.heartbeat(1.0, 8, tasks=[RUNNING])
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -59,6 +59,8 @@
     assert machine.state is MachineState.EXPIRED and part.records.to_drop == ["n-1"] and not machine.recorded
     part.records.cancel_drop = lambda name: not sent
     heartbeat(part, 101)
+    assert machine.state is MachineState.EXPIRED, "the incarnation whose lease has expired does not return"
+    heartbeat(part, 102, incarnation=2)
     assert machine.state is MachineState.UP and machine.recorded is not sent
     assert part.records.to_write == (["n-1"] if sent else [])
 
@@ -72,7 +74,7 @@
         for name in sorted(sim.core.machine_shard.machines)
         if sim.core.machine_shard.machines[name].recorded
     )
-    core.machine_shard.machines[name].expire()
+    core.machine_shard.machines[name].expire(incarnation=1)
     core.machine_shard.records.drop(core.machine_shard.machines[name])
     assert core.machine_records.cancel_drop(name) and not core.machine_records.cancel_drop(name), (
         "only once: no deletion is pending any more"
