Jobs: a one-zone job with runs reported in two zones starts nothing

With runs of a one-zone job in two zones, allowed_zone took the zone that a set yielded first, so by the hash of its name: with PYTHONHASHSEED=0 one of them, with 1 to 3 the other.

Cause: a state that was thought impossible was decided by iteration order, so one false report broke a rule.

Change: with runs in more than one zone nothing is granted. Each run ends, or is freed by the next report on its machine, so the job does not wait for ever.

--- a/alderbridge/jobs/job_tasks.py
+++ b/alderbridge/jobs/job_tasks.py
@@ -75,13 +75,17 @@
         return TaskState.UNKNOWN if index in self.inherited_tasks else TaskState.WAITING
 
     def allowed_zone(self) -> tuple[bool, str | None]:
-        """Whether any task may be granted, and the zone that grants are restricted to, if any."""
+        """Whether any task may be granted, and the zone that grants are restricted to, if any.
+
+        While reports place runs of a one-zone job in several zones, none may: one of them is outdated, and a report of
+        its machine's owner will show so.
+        """
         if not self.spec.one_zone or self.spec.zone is not None:
             return True, self.spec.zone
         if self.inherited_tasks:
             return False, None
         zones = {run.zone for run in self.runs.values()}
-        return True, next(iter(zones), None)
+        return len(zones) <= 1, next(iter(zones)) if len(zones) == 1 else None
 
     def runs_by_zone(self) -> dict[str, int]:
         """Number of runs in each zone that has any, in the order of the zones' names."""
--- a/tests/test_one_zone_jobs.py
+++ b/tests/test_one_zone_jobs.py
@@ -2,13 +2,14 @@
 
 import msgspec
 import pytest
-from simulation import LEASE_S, ROOM_S, SimWorker, World
+from simulation import LEASE_S, ROOM_S, Broken, SimWorker, World
 from simulation.one_zone import OneZoneWorld
 from test_machine_proofs import LEASE_EXPIRY_PROOF_S, RUNNING, MachineShardHarness
 
 from alderbridge.jobs.job_tasks import JobTasks
 from alderbridge.jobs.record import JobState, Record
 from alderbridge.jobs.task_states import TaskRun, TaskState
+from alderbridge.machines.heartbeats import HeartbeatHandler
 from alderbridge.machines.machine import MachineState
 from alderbridge.protocol.wire import JobSpec, ReportedTask
 from alderbridge.scheduling.market import MachineKind
@@ -65,6 +66,24 @@
         assert len(world.completed) == TASKS
 
 
+@pytest.mark.parametrize("seed", (3, 5, 8))
+def test_a_zone_conflict_starts_no_task_in_either_zone_and_ends_by_proof(seed, monkeypatch):
+    monkeypatch.setattr(HeartbeatHandler, "_refuse_if_expired", lambda handler, machine, heartbeat: False)
+    for zones in (("a", "b"), ("b", "a")):
+        world = FixedFleetWorld(seed, *zones)
+        world.run(PARTITION_STARTS_AT_S + PARTITION_S + 0.5)
+        jobs = [job for sim in world.controllers.values() for job in sim.core.job_shard.jobs.values()]
+        assert [job.zone_conflict_logged for job in jobs] == [True]
+        world.run(400.0)
+        assert len(world.completed) == TASKS
+
+
+def test_the_simulation_detects_accepted_heartbeats_of_expired_incarnations(monkeypatch):
+    monkeypatch.setattr(HeartbeatHandler, "_refuse_if_expired", lambda handler, machine, heartbeat: False)
+    with pytest.raises(Broken, match="zone_conflict"):
+        OneZoneWorld(10).run(200.0)
+
+
 @pytest.mark.parametrize("seed", (10, 11, 15, 24, 25, 35, 40, 42, 44, 50, 100, 101))
 def test_one_zone_jobs_keep_to_a_zone_and_wait_for_no_proof_for_ever(seed):
     world = OneZoneWorld(seed)
