--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -14,8 +14,8 @@
 from collections.abc import Sequence
 from typing import NoReturn
 
-from simulation.errors import Broken
-from simulation.invariants import ROOM_S
+from simulation.errors import InvariantViolation
+from simulation.invariants import MAX_PLACEABLE_WAIT_S
 from simulation.one_zone import OneZoneWorld
 from simulation.world import World
 
@@ -68,7 +68,7 @@
     try:
         world.run(until)
         world.check_final_status_age()
-    except Broken as error:
+    except InvariantViolation as error:
         return str(error)
     return ""
 
@@ -81,10 +81,12 @@
         started_at = time.process_time()
         if options.world == "one-zone":
             world: World = OneZoneWorld(seed)
-            until = options.until or world.faults_end_at + ROOM_S
+            until = options.until or world.faults_end_at + MAX_PLACEABLE_WAIT_S
         else:
             machines = int(options.machines)
-            world = World(seed, nodes=5, machines=machines, jobs=machines, groups=True, falls=2, rush=True)
+            world = World(
+                seed, nodes=5, machines=machines, jobs=machines, group_faults=True, total_failures=2, large_jobs=True
+            )
             until = options.until or 400.0
         broken = play(world, until)
         any_broken = any_broken or bool(broken)
--- a/tests/simulation/controller.py
+++ b/tests/simulation/controller.py
@@ -55,7 +55,7 @@
         self.life += 1
         world, generation = self.world, self.life
         self.core = ControllerCore(
-            deployment.platform(self.label, world.labels, None if self.old else world.coming),
+            deployment.platform(self.label, world.labels, None if self.old else world.next_limits),
             Tuning(),
             world.t,
             own={} if self.old else world.operator_files(self.label),
--- a/tests/simulation/errors.py
+++ b/tests/simulation/errors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class Broken(AssertionError):
+class InvariantViolation(AssertionError):
     """An invariant of the protocol was violated."""
 
 
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -32,7 +32,7 @@
     "cut_machine",
     "faulty",
     "recall",
-    "deaf",
+    "inbound_blocked",
     "late_reports",
     "late_writes",
     "cut_from_store_and_peers",
@@ -41,17 +41,17 @@
 ]
 # Overlapping faults include at least one of CONCURRENT_FAULTS; see ``schedule_concurrent_faults``.
 CONCURRENT_FAULTS = [
-    "deaf",
+    "inbound_blocked",
     "late_reports",
     "late_writes",
     "cut_from_store_and_peers",
     "refused",
     "held_up",
     "slow_store",
-    "mute",
+    "outbound_blocked",
     "concurrent_reads",
     "lost_responses",
-    "reports_kept",
+    "heartbeats_kept",
     "cancel_now",
     "cancel_at_end",
     "odd_requests",
@@ -62,7 +62,7 @@
     "ten_leaders",
 ]
 SECONDARY_FAULTS = ["crash", "crash_all", "staggered_restart", "flap", "end_leaders", "hang", "cut_machine"]
-MACHINE_FAULTS = ("deaf", "held_up", "hang", "cut_machine", "mute")
+MACHINE_FAULTS = ("inbound_blocked", "held_up", "hang", "cut_machine", "outbound_blocked")
 
 
 class Faults:
@@ -96,7 +96,7 @@
             self.store.latency_factor, self.store.slow_until = rng.choice([25.0, 100.0, 400.0]), self.t + length
         elif kind == "lost_responses":
             self.store.lost_response_share, self.store.lost_responses_until = rng.uniform(0.2, 0.9), self.t + length
-        elif kind == "reports_kept":
+        elif kind == "heartbeats_kept":
             self.heartbeat_copy_share, self.heartbeat_copies_until = rng.uniform(0.1, 0.6), self.t + length
             self.after(rng.uniform(0.3, 1.0) * length, self.crash_leaders, rng.randint(1, 3), rng.uniform(1.0, 8.0))
         elif kind == "concurrent_reads":
@@ -145,11 +145,11 @@
                 worker.hangs_until = self.t + length
             elif kind == "cut_machine":
                 worker.cut_until = self.t + length
-            elif kind == "deaf":
+            elif kind == "inbound_blocked":
                 worker.inbound_blocked_until = self.t + length
             elif kind == "held_up":
                 worker.responses_delayed_until = self.t + length
-            elif kind == "mute":
+            elif kind == "outbound_blocked":
                 worker.outbound_blocked_until = self.t + length
             elif kind == "faulty":
                 worker.fails_tasks = not worker.fails_tasks
@@ -177,7 +177,7 @@
         for kind in kinds:
             begins_at = starts_at + rng.uniform(0.0, 8.0)
             length = rng.uniform(10.0, 45.0)
-            if kind in ("deaf", "mute"):
+            if kind in ("inbound_blocked", "outbound_blocked"):
                 length = rng.choice([rng.uniform(5.0, 40.0), rng.uniform(20.0, 200.0)])
             elif kind == "ten_leaders":
                 length = REPLACED_LEADERS_S
@@ -281,7 +281,7 @@
     def draw_downtime(self) -> float:
         """Draws how long a crashed process is down, in s: mostly below 1 s, rarely up to a minute."""
         rng = self.rng
-        if self.slow:
+        if self.slow_restarts:
             return rng.uniform(1.0, 60.0) if rng.random() < 0.1 else rng.uniform(1.0, 8.0)
         return rng.choice(
             [
--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -16,14 +16,17 @@
 from alderbridge.protocol.keys import VIEW
 from simulation import deployment
 from simulation.deployment import CANCEL_S, TYPES
-from simulation.errors import Broken
+from simulation.errors import InvariantViolation
 
 if TYPE_CHECKING:
     from simulation.controller import SimController
     from simulation.worker import SimTask, SimWorker
 
-KNOWN_S, BEGIN_S = 75.0, 240.0  # maximum time without a status for a job; until the largest jobs start
-ROOM_S = 90.0  # maximum wait while free capacity suits the job, after the faults have ended
+MAX_STATUS_AGE_S, LARGEST_START_LIMIT_S = (
+    75.0,
+    240.0,
+)  # maximum time without a status for a job; until the largest jobs start
+MAX_PLACEABLE_WAIT_S = 90.0  # maximum wait while free capacity suits the job, after the faults have ended
 
 
 class Invariants:
@@ -51,7 +54,9 @@
         job = wire.split_task_id(task_id)[0]
         spec = self.specs[job]
         if task_id in self.running_on:
-            raise Broken(f"ran_twice: {task_id} on {self.running_on[task_id]} and {worker.name} at {self.t:.2f}")
+            raise InvariantViolation(
+                f"ran_twice: {task_id} on {self.running_on[task_id]} and {worker.name} at {self.t:.2f}"
+            )
         zones = [
             self.machines[name].kind.zone
             for other, name in self.running_on.items()
@@ -59,10 +64,10 @@
         ]
         zones.append(worker.kind.zone)
         if not self.may_place(spec, worker.kind, zones):
-            raise Broken(f"wrong_place: {task_id} on {worker.name}")
+            raise InvariantViolation(f"wrong_place: {task_id} on {worker.name}")
         for need in spec.dependencies or ():
             if any(f"{need}/{index}" not in self.completed for index in range(self.specs[need].tasks)):
-                raise Broken(f"too_early: {task_id} before {need}")
+                raise InvariantViolation(f"too_early: {task_id} before {need}")
         self.running_on[task_id] = worker.name
         self.task_starts += 1
         self.placeable_since.pop(job, None)
@@ -76,9 +81,9 @@
                 if self.specs[wire.split_task_id(other)[0]].team == team.name
             )
             if team.cpus_max and used > team.cpus_max + 1e-9:
-                raise Broken(f"quota: {team.name} uses {used}")
+                raise InvariantViolation(f"quota: {team.name} uses {used}")
         if self.t > self.cancelled_at.get(job, math.inf) + CANCEL_S:
-            raise Broken(f"ran_cancelled: {task_id}")
+            raise InvariantViolation(f"ran_cancelled: {task_id}")
 
     @staticmethod
     def may_place(spec: wire.JobSpec, kind, zones: list[str]) -> bool:
@@ -92,7 +97,7 @@
         )
 
     def check_placeable_jobs(self) -> None:
-        """Checks that no job waits longer than ``ROOM_S`` while free capacity suits it, after the faults have ended."""
+        """After the faults, checks that no job waits over ``MAX_PLACEABLE_WAIT_S`` while free capacity suits it."""
         if self.t < self.faults_end_at:
             return
         reported: dict[str, SimWorker] = {}
@@ -143,25 +148,31 @@
                 continue
             waited = self.t - self.placeable_since.setdefault(job, self.t)
             self.longest_placeable_wait_s = max(self.longest_placeable_wait_s, waited)
-            if waited > ROOM_S:
-                raise Broken(f"waited: {job} although free capacity suits it since {self.placeable_since[job]:.1f}")
+            if waited > MAX_PLACEABLE_WAIT_S:
+                raise InvariantViolation(
+                    f"waited: {job} although free capacity suits it since {self.placeable_since[job]:.1f}"
+                )
 
     def check_jobs_answered(self) -> None:
-        """Checks that each open job got a status within ``KNOWN_S``, counted from the end of the faults."""
+        """Checks that each open job got a status within ``MAX_STATUS_AGE_S``, counted from the end of the faults."""
         for job in self.accepted:
             since = max(self.last_status_at.get(job, self.accepted_at.get(job, self.t)), self.faults_end_at)
-            if job not in self.reported_ends and self.t - since > KNOWN_S:
-                raise Broken(f"unanswered: {job} since {since:.1f}")
+            if job not in self.reported_ends and self.t - since > MAX_STATUS_AGE_S:
+                raise InvariantViolation(f"unanswered: {job} since {since:.1f}")
 
     def run_to_time_limits(self) -> None:
         """Runs on until all time limits have been checked: waiting jobs, and the start of the largest jobs."""
-        self.run(max(self.t, self.faults_end_at + ROOM_S + 10.0))
+        self.run(max(self.t, self.faults_end_at + MAX_PLACEABLE_WAIT_S + 10.0))
         while late := self.largest_not_started():
-            self.run(min(self.first_submitted_at[job] for job in late) + BEGIN_S + 0.5)
+            self.run(min(self.first_submitted_at[job] for job in late) + LARGEST_START_LIMIT_S + 0.5)
             if self.largest_started_late():
-                raise Broken(f"late: {self.largest_started_late()} not begun within {BEGIN_S:.0f} s")
+                raise InvariantViolation(
+                    f"late: {self.largest_started_late()} not begun within {LARGEST_START_LIMIT_S:.0f} s"
+                )
         if self.largest_started_late():
-            raise Broken(f"late: {self.largest_started_late()} not begun within {BEGIN_S:.0f} s")
+            raise InvariantViolation(
+                f"late: {self.largest_started_late()} not begun within {LARGEST_START_LIMIT_S:.0f} s"
+            )
         self.check_final_status_age()
 
     def on_task_stopped(self, task_id: str, machine: str) -> None:
@@ -176,7 +187,7 @@
                     self.terminate([worker.name])
         for task_id, machine in self.running_on.items():
             if self.t > self.cancelled_at.get(wire.split_task_id(task_id)[0], math.inf) + CANCEL_S:
-                raise Broken(f"ran_cancelled: {task_id} on {machine}")
+                raise InvariantViolation(f"ran_cancelled: {task_id} on {machine}")
         for sim in self.controllers.values():
             if sim.core is not None:
                 self.check_bookkeeping(sim.core)
@@ -198,21 +209,22 @@
                 and name not in core.submissions.pending
                 and core.membership.job_owner(record.accepted_by) == core.me
             ):
-                raise Broken(f"unserved: {name} by {core.me}, its owner, at {self.t:.2f}")
+                raise InvariantViolation(f"unserved: {name} by {core.me}, its owner, at {self.t:.2f}")
 
     def check_final_status_age(self) -> None:
-        """Checks at the end of a run that each open job got a status within ``KNOWN_S``."""
+        """Checks at the end of a run that each open job got a status within ``MAX_STATUS_AGE_S``."""
         for job in sorted(self.accepted):
             since = self.last_status_at.get(job, self.first_submitted_at.get(job, 0.0))
-            if job not in self.reported_ends and self.t - since > KNOWN_S:
-                raise Broken(f"unanswered: {job} since {since:.1f}")
+            if job not in self.reported_ends and self.t - since > MAX_STATUS_AGE_S:
+                raise InvariantViolation(f"unanswered: {job} since {since:.1f}")
 
     def largest_started_late(self) -> list[str]:
-        """The largest tenth of the jobs of each class, by CPUs, that did not start within ``BEGIN_S``."""
+        """The largest tenth of the jobs of each class, by CPUs, that did not start within ``LARGEST_START_LIMIT_S``."""
         return [
             job
             for job in self.largest_jobs()
-            if min(self.first_started_at.get(job, math.inf), self.t) > self.first_submitted_at[job] + BEGIN_S
+            if min(self.first_started_at.get(job, math.inf), self.t)
+            > self.first_submitted_at[job] + LARGEST_START_LIMIT_S
         ]
 
     def largest_not_started(self) -> list[str]:
@@ -237,22 +249,22 @@
         used = job_shard.usage.used()
         for team in {*cached, *used}:
             if any(abs(a - b) > 1e-6 for a, b in zip(cached.get(team, (0, 0)), used.get(team, (0, 0)), strict=True)):
-                raise Broken(f"books: {team} uses {used.get(team)}, cached was {cached.get(team)}")
+                raise InvariantViolation(f"books: {team} uses {used.get(team)}, cached was {cached.get(team)}")
         for name, job in job_shard.jobs.items():
             counted = job.done.count + len(job.runs) + len(job.inherited_tasks) + job.waiting
             if job.state is JobState.ACTIVE and counted != job.spec.tasks:
-                raise Broken(f"books: {name} accounts for {counted} of {job.spec.tasks} tasks")
+                raise InvariantViolation(f"books: {name} accounts for {counted} of {job.spec.tasks} tasks")
             if any(name not in jobs_by_machine.get(machine, ()) for machine in job.tasks_by_machine):
-                raise Broken(f"books: {name} has a task on a machine that is not in the index")
+                raise InvariantViolation(f"books: {name} has a task on a machine that is not in the index")
             is_lagging = job.dirty_since is not None or (
                 job.has_full_record and job.stored_state is not JobState.ACTIVE
             )
             if is_lagging and job_shard.tally.lagging.get(name) is not job:
-                raise Broken(f"books: {name} has a record to write that is not in the index")
+                raise InvariantViolation(f"books: {name} has a record to write that is not in the index")
         view = core.membership.view.members
         for machine, owner in core.membership.machine_owners.items():
             if owner != (rendezvous_owner(machine, sorted(view)) if view else ""):
-                raise Broken(f"books: {machine} does not belong to {owner}")
+                raise InvariantViolation(f"books: {machine} does not belong to {owner}")
         for machine in machine_shard.machines.values():
             last_contact_at = (
                 machine.last_heartbeat_at
@@ -261,14 +273,16 @@
             )
             if machine.lease.exclusive_since is not None and machine.state is not MachineState.EXPIRED:
                 if last_contact_at < machine_shard.leases.oldest_lease_start:
-                    raise Broken(f"books: {machine.name} was silent since {last_contact_at}, no expiry check is due")
+                    raise InvariantViolation(
+                        f"books: {machine.name} was silent since {last_contact_at}, no expiry check is due"
+                    )
         for machine in machine_shard.machines.values():
             cached, machine.free = machine.free, None
             free = machine_shard.capacity.free_resources(machine)
             # The recount is not cached where a job of the machine is unknown: then nothing is compared.
             is_known, machine.free = machine.free is not None, cached
             if cached is not None and is_known and any(abs(a - b) > 1e-6 for a, b in zip(cached, free, strict=True)):
-                raise Broken(f"books: {machine.name} has {free} free, cached was {cached}")
+                raise InvariantViolation(f"books: {machine.name} has {free} free, cached was {cached}")
 
     def on_view_change(self) -> None:
         """Records the leader, and resends kept heartbeats to all controllers as the new view takes effect."""
--- a/tests/simulation/one_zone.py
+++ b/tests/simulation/one_zone.py
@@ -9,7 +9,7 @@
 from alderbridge.controller.core import ControllerCore
 from alderbridge.protocol import wire
 from simulation.deployment import LEASE_S, ZONES
-from simulation.errors import Broken
+from simulation.errors import InvariantViolation
 from simulation.world import World
 
 MACHINES = 24
@@ -37,7 +37,9 @@
             self.after(rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S), self.kill_machines)
         for _ in range(rng.randint(2, 4)):
             self.after(rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S), self.partition_machines)
-        for kind in rng.sample(["late_reports", "reports_kept", "hang", "deaf", "mute", "held_up"], 2):
+        for kind in rng.sample(
+            ["late_reports", "heartbeats_kept", "hang", "inbound_blocked", "outbound_blocked", "held_up"], 2
+        ):
             self.after(
                 rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S),
                 self.inject_concurrent,
@@ -52,7 +54,7 @@
         super().check_bookkeeping(core)
         for name, job in core.job_shard.jobs.items():
             if job.zone_conflict_logged:
-                raise Broken(f"zone_conflict: {name} at {self.t:.2f}")
+                raise InvariantViolation(f"zone_conflict: {name} at {self.t:.2f}")
 
     def make_one_zone_job(self, number: int) -> wire.JobSpec:
         """An array whose tasks must keep to one zone, and may run on any machine of it."""
--- a/tests/simulation/users.py
+++ b/tests/simulation/users.py
@@ -13,7 +13,7 @@
 from alderbridge.protocol import messages, wire
 from alderbridge.protocol.keys import JOBS
 from simulation.deployment import CANCEL_S
-from simulation.errors import Broken
+from simulation.errors import InvariantViolation
 
 if TYPE_CHECKING:
     from simulation.controller import SimController
@@ -216,7 +216,7 @@
 
     def accept(self, job: str) -> None:
         if job in self.invalid_jobs:
-            raise Broken(f"took_flawed: {job}")
+            raise InvariantViolation(f"took_flawed: {job}")
         self.accepted.add(job)
         if job not in self.accepted_at:
             self.accepted_at[job] = self.t
@@ -227,7 +227,7 @@
         before, ends = self.reported_ends.get(job), state in ("done", "aborted")
         if before is not None and state != before:
             if asked is None or ends or asked >= self.end_reported_at[job]:
-                raise Broken(f"went_back: {job} {before} -> {state}")
+                raise InvariantViolation(f"went_back: {job} {before} -> {state}")
             return  # outdated, but correct when requested
         if ends and before is None:
             self.end_reported_at[job] = self.t
@@ -235,13 +235,13 @@
         if state == "done":
             missing = [i for i in range(self.specs[job].tasks) if f"{job}/{i}" not in self.completed]
             if missing:
-                raise Broken(f"not_done: {job} lacks {missing}")
+                raise InvariantViolation(f"not_done: {job} lacks {missing}")
             self.reported_ends[job] = state
         elif state == "aborted":
             if job not in self.cancelled_at and not any(
                 one in self.cancelled_at for one in self.transitive_dependencies(job)
             ):
-                raise Broken(f"went_back: {job} was never cancelled")
+                raise InvariantViolation(f"went_back: {job} was never cancelled")
             self.reported_ends[job] = state
             if job in self.cancelled_at:  # the first response counts, also one to a status request
                 self.cancelled_at[job] = min(self.cancelled_at[job], self.t)
@@ -249,7 +249,7 @@
             (self.t if asked is None else asked) > self.cancelled_at.get(one, math.inf) + CANCEL_S
             for one in self.transitive_dependencies(job)
         ):
-            raise Broken(f"orphaned: {job} is reported as {state}")
+            raise InvariantViolation(f"orphaned: {job} is reported as {state}")
 
     def poll(self, job: str) -> None:
         """Requests the status of a job at intervals, from each controller in turn."""
@@ -271,7 +271,7 @@
     def on_status(self, job: str, state: str | None, asked: float) -> None:
         if state == NOT_FOUND:
             if self.accepted_at.get(job, math.inf) <= asked:
-                raise Broken(f"forgotten: {job} at {self.t:.2f}, accepted at {self.accepted_at[job]:.2f}")
+                raise InvariantViolation(f"forgotten: {job} at {self.t:.2f}, accepted at {self.accepted_at[job]:.2f}")
         elif state is not None:
             self.last_status_at[job] = self.t
             self.check_state(job, state, asked)
@@ -329,7 +329,7 @@
 
     def check_rejected(self, body: dict, state: str | None) -> None:
         if state not in (None, NOT_FOUND):
-            raise Broken(f"took_flawed: {body} is {state}")
+            raise InvariantViolation(f"took_flawed: {body} is {state}")
 
     def status_at_once(self, sim: SimController, job: str) -> str | None:
         """As ``StatusHandler.status``: from memory, the job owner or the store; None: 503 or controller down."""
@@ -354,7 +354,7 @@
             return None
         row = self.store.data.get(JOBS + job)
         if row is None:
-            raise Broken(f"forgotten: {job}")
+            raise InvariantViolation(f"forgotten: {job}")
         record = msgspec.json.decode(row[0], type=Record)
         waits = record.spec is not None and (record.spec.dependencies or record.dependency_digest)
         if record.state is not JobState.ACTIVE:
--- a/tests/simulation/worker.py
+++ b/tests/simulation/worker.py
@@ -7,7 +7,7 @@
 
 from alderbridge.protocol import wire
 from simulation.deployment import HEARTBEAT_S, LEASE_S
-from simulation.errors import Broken
+from simulation.errors import InvariantViolation
 
 if TYPE_CHECKING:
     from simulation.world import World
@@ -219,7 +219,7 @@
                 new_task = SimTask(order["try"], "fetching", self.world.t + self.world.rng.uniform(0.1, 3.0))
                 self.tasks[task_id] = new_task
             elif task.attempt != order["try"]:
-                raise Broken(f"busy: {task_id} on {self.name}")
+                raise InvariantViolation(f"busy: {task_id} on {self.name}")
         elif task is not None and task.attempt == order["try"]:
             if order["verb"] == "halt" and task.status != "ended":
                 job = wire.split_task_id(task_id)[0]
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -36,32 +36,33 @@
         nodes: int = 3,
         pipelines: int = 0,
         upgrade: bool = False,
-        coming: NextStateLimits | None = None,
-        tight_at: float = math.inf,
-        groups: bool = False,
-        falls: int = 0,
+        next_limits: NextStateLimits | None = None,
+        limits_lowered_at: float = math.inf,
+        group_faults: bool = False,
+        total_failures: int = 0,
         machines: int = 14,
-        rush: bool = False,
-        slow: bool = False,
+        large_jobs: bool = False,
+        slow_restarts: bool = False,
         concurrent_faults: int = 0,
     ) -> None:
-        """``falls``: number of times that all controllers and much of the fleet fail together; see ``fail_everything``.
+        """``total_failures``: how often all controllers and much of the fleet fail together; see ``fail_everything``.
 
-        ``machines``: maximum that the cloud rents out. ``rush``: submits jobs of 30 to 90 tasks in place of small ones.
+        ``machines``: maximum that the cloud rents out. ``large_jobs``: jobs of 30 to 90 tasks in place of small ones.
 
-        ``slow``: crashed controllers restart after a second or more, so that their successors inherit more work.
+        ``slow_restarts``: crashed controllers restart after a second or more, so that successors inherit more work.
 
         ``concurrent_faults``: number of times that two or three faults overlap; see ``schedule_concurrent_faults``.
         Every other job then has two or three long tasks, and users cancel many jobs, through any controller.
 
-        ``groups``: many machines crash, hang or are cut off at once, some while all controllers are down.
+        ``group_faults``: many machines crash, hang or are cut off at once, some while all controllers are down.
 
         ``upgrade``: all controllers start as the old version and are restarted one by one as the new one.
 
-        ``coming``: future store limits that the settings announce. ``tight_at``: when the store enforces lower limits.
+        ``next_limits``: future store limits that the settings announce. ``limits_lowered_at``: when the store enforces
+        lower ones.
         """
         self.rng = random.Random(seed)
-        self.slow, self.has_concurrent_faults = slow, concurrent_faults > 0
+        self.slow_restarts, self.has_concurrent_faults = slow_restarts, concurrent_faults > 0
         self.duplicate_share, self.duplicates_until = 0.0, 0.0  # share of heartbeats that are delivered again later
         self.reload_on_failure = False  # a failed watch makes a controller read the whole store again
         self.faults_end_at = 0.0  # when the last of the concurrent faults ends
@@ -83,7 +84,7 @@
         self.concurrent_request_count = 0  # requests sent by ``send_concurrent_request``
         self.job_numbers = itertools.count(1000)  # of the jobs that faults submit
         self.query_ids, self.pending_queries = itertools.count(1), {}  # query to a job owner -> who gets the reply
-        self.upgrade, self.coming, self.max_machines, self.rush = upgrade, coming, machines, rush
+        self.upgrade, self.next_limits, self.max_machines, self.large_jobs = upgrade, next_limits, machines, large_jobs
         self.t = 0.0
         self.delayed_frame_share = 0.001  # share of messages between controllers that are delayed by up to 5 s
         self.events: list = []
@@ -112,7 +113,7 @@
         for number in range(jobs):
             make = (
                 self.make_large_job
-                if rush
+                if large_jobs
                 else self.make_long_job
                 if concurrent_faults and number % 2
                 else self.make_job
@@ -128,15 +129,15 @@
             self.after(
                 self.rng.uniform(pipelines_from_s, pipelines_from_s + 80.0), self.submit_pipeline, 50 + 10 * number
             )
-        if tight_at < math.inf:
-            self.after(tight_at, self.lower_store_limits)
+        if limits_lowered_at < math.inf:
+            self.after(limits_lowered_at, self.lower_store_limits)
         if random_faults:
             for _ in range(self.rng.randint(3, 7)):
                 self.after(self.rng.uniform(10.0, 130.0), self.inject_fault)
-        if groups:
+        if group_faults:
             for _ in range(self.rng.randint(2, 4)):
                 self.after(self.rng.uniform(20.0, 120.0), self.inject_group_fault)
-        for number in range(falls):
+        for number in range(total_failures):
             self.after(self.rng.uniform(30.0, 60.0) + 60.0 * number, self.fail_everything)
         for number in range(concurrent_faults):
             self.schedule_concurrent_faults(self.rng.uniform(25.0, 60.0) + 45.0 * number)
@@ -161,7 +162,7 @@
         self.after(self.rng.uniform(1.0, 6.0), self.restart, sim)
 
     def lower_store_limits(self) -> None:
-        self.store.max_changes, self.store.value_bytes = (4, 700) if self.coming else (1, 450)
+        self.store.max_changes, self.store.value_bytes = (4, 700) if self.next_limits else (1, 450)
 
     def on_core_created(self, core: ControllerCore) -> None:
         """Hook for subclasses: called with each new controller core before its first event."""
--- a/tests/test_calendars_simulated.py
+++ b/tests/test_calendars_simulated.py
@@ -132,7 +132,7 @@
             rule, until = self.closing_time(configuration, spec)
             run_s = spec.estimate_s * rule.run_factor if rule is not None and rule.ends else 0.0
             if START_TIME + self.t + run_s >= until:
-                raise simulation.Broken(f"closed: {task} started at {self.t:.2f}")
+                raise simulation.InvariantViolation(f"closed: {task} started at {self.t:.2f}")
 
     def check_invariants(self) -> None:
         super().check_invariants()
@@ -147,7 +147,7 @@
                 and not since
                 and self.t > self.stored_at[-1] + STOP_DELAY_S
             ):
-                raise simulation.Broken(f"not stopped: {task} runs at {self.t:.2f}")
+                raise simulation.InvariantViolation(f"not stopped: {task} runs at {self.t:.2f}")
 
 
 @pytest.fixture(autouse=True)
@@ -181,7 +181,7 @@
 
 @pytest.mark.parametrize("seed", range(9100, 9105))
 def test_no_task_starts_in_closed_hours_under_random_faults(seed):
-    assert play(seed, 260.0, nodes=3 + 2 * (seed % 2), pipelines=2, groups=seed % 2 == 0).task_starts > 0
+    assert play(seed, 260.0, nodes=3 + 2 * (seed % 2), pipelines=2, group_faults=seed % 2 == 0).task_starts > 0
 
 
 def test_task_granted_but_not_sent_at_closing_is_released():
@@ -245,6 +245,8 @@
 def test_each_disabled_guard_is_detected(guard, seeds, monkeypatch):
     """The checks at the grant and with the command are covered by the test above, which fails without either."""
     break_guard(monkeypatch, guard)
-    with pytest.raises(simulation.Broken, match="not stopped: " if guard == "tasks not stopped" else "closed: "):
+    with pytest.raises(
+        simulation.InvariantViolation, match="not stopped: " if guard == "tasks not stopped" else "closed: "
+    ):
         for seed in seeds:
             play(seed, 220.0, nodes=3 + 2 * (seed % 2), random_faults=False, crashes=guard != "tasks not stopped")
--- a/tests/test_capacity_under_faults.py
+++ b/tests/test_capacity_under_faults.py
@@ -9,7 +9,17 @@
 
 import msgspec
 import pytest
-from simulation import BEGIN_S, LABELS, LEASE_S, TEAMS, TYPES, Broken, SimController, SimWorker, World
+from simulation import (
+    LABELS,
+    LARGEST_START_LIMIT_S,
+    LEASE_S,
+    TEAMS,
+    TYPES,
+    InvariantViolation,
+    SimController,
+    SimWorker,
+    World,
+)
 
 from alderbridge import constants
 from alderbridge.controller.submissions import Submission
@@ -108,7 +118,7 @@
                 self.started[job] = world.start_counts.get(job, 0)
             self.longest_wait_s = max(self.longest_wait_s, now - since)
             if now - since > MAX_WAIT_S:
-                raise Broken(f"waits: {job} since {since:.1f} despite free capacity, {world.specs[job]}")
+                raise InvariantViolation(f"waits: {job} since {since:.1f} despite free capacity, {world.specs[job]}")
         world.after(1.0, self.check)
 
 
@@ -150,7 +160,7 @@
             random_faults=False,
             nodes=5,
             machines=machines,
-            coming=NextStateLimits(write_rps=write_rps),
+            next_limits=NextStateLimits(write_rps=write_rps),
             **kwargs,
         )
         self.has_concurrent_faults = True  # users cancel through any controller
@@ -501,7 +511,7 @@
         self.inherited.release()
 
     monkeypatch.setattr(JobShard, "enter_view", no_barrier)
-    with pytest.raises(Broken, match="ran_twice"):
+    with pytest.raises(InvariantViolation, match="ran_twice"):
         run_isolated_zone(2, False, 50.0)
 
 
@@ -558,7 +568,7 @@
 def test_under_overload_production_jobs_start_first_and_no_job_starves(seed, outage_s):
     world, checker = run_overloaded(seed, outage_s)
     urgent, other = start_latencies(world, "production"), start_latencies(world, "best_effort")
-    assert urgent[len(urgent) // 2] < other[len(other) // 2] and other[-1] < BEGIN_S
+    assert urgent[len(urgent) // 2] < other[len(other) // 2] and other[-1] < LARGEST_START_LIMIT_S
     assert not world.largest_started_late() and checker.longest_wait_s < MAX_WAIT_S
     assert {world.reported_ends.get(job) for job in world.accepted} == {"done"} and len(world.accepted) == len(
         world.specs
@@ -590,5 +600,5 @@
     world = IsolatedZoneWorld(5, jobs=16, machines=4)
     world.run(40.0)
     FreeCapacityChecker(world, world.t)
-    with pytest.raises(Broken, match="waits"):
+    with pytest.raises(InvariantViolation, match="waits"):
         world.run(170.0)
--- a/tests/test_concurrent_faults.py
+++ b/tests/test_concurrent_faults.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from simulation import KNOWN_S, ROOM_S, ZONES, Broken, World
+from simulation import MAX_PLACEABLE_WAIT_S, MAX_STATUS_AGE_S, ZONES, InvariantViolation, World
 
 from alderbridge.controller import admission
 from alderbridge.controller.local_jobs import LocalJobs
@@ -70,13 +70,15 @@
     return spec.id
 
 
-@pytest.mark.parametrize("kind", ["mute", "quick_boots", "limits", "zone_away", "reports_kept", "ten_leaders"])
+@pytest.mark.parametrize(
+    "kind", ["outbound_blocked", "quick_boots", "limits", "zone_away", "heartbeats_kept", "ten_leaders"]
+)
 def test_each_fault_has_its_intended_effect(kind):
     world = calm_world(5, jobs=14, until=50.0, nodes=5)
     sim, before, fencing_token = world.controllers["host-1"], dict(world.rented_kinds), world.store.data[VIEW][1]
     worker = next(worker for worker in world.machines.values() if worker is not None and worker.alive)
     incarnation = worker.incarnation
-    if kind == "mute":
+    if kind == "outbound_blocked":
         worker.outbound_blocked_until = world.t + 60.0
         world.crash_leaders(1, 1.0)
         world.run(60.0)
@@ -116,7 +118,7 @@
         }
         assert zone in ZONES and inside == sim.label and until == 90.0 and not sim.core.may_act()
         assert sim.label not in reporting_to
-    elif kind == "reports_kept":
+    elif kind == "heartbeats_kept":
         world.heartbeat_copy_share = 1.0
         world.run(52.0)
         world.heartbeat_copies_until, kept = 0.0, len(world.kept_heartbeats)
@@ -233,7 +235,7 @@
 
     play()
     report_pending_while_end_is_unconfirmed(monkeypatch)
-    with pytest.raises(Broken, match="went_back"):
+    with pytest.raises(InvariantViolation, match="went_back"):
         play()
 
 
@@ -244,9 +246,9 @@
     real = placement.fill
     monkeypatch.setattr(placement, "fill", lambda *args: [want for want in real(*args) if want.job != late])
     late = submit_job(world, 2)
-    with pytest.raises(Broken, match=f"waited: {late}"):
-        world.run(60.0 + ROOM_S + 20.0)
-    assert world.t > 60.0 + ROOM_S
+    with pytest.raises(InvariantViolation, match=f"waited: {late}"):
+        world.run(60.0 + MAX_PLACEABLE_WAIT_S + 20.0)
+    assert world.t > 60.0 + MAX_PLACEABLE_WAIT_S
 
 
 def test_team_is_not_blocked_by_a_job_without_a_suitable_machine():
@@ -308,7 +310,7 @@
                 worker.inbound_blocked_until = 1000.0
     else:
         world.cancelled_at[late] = math.inf
-    world.run(60.0 + ROOM_S + 20.0)
+    world.run(60.0 + MAX_PLACEABLE_WAIT_S + 20.0)
     assert late not in world.placeable_since
 
 
@@ -319,7 +321,7 @@
     monkeypatch.setattr(Leader, "decide", lambda self, now: type(real_decide(self, now))())  # never scales out
     world = calm_world()
     job = submit_job(world)
-    with pytest.raises(Broken, match=f"late: .*{job}"):
+    with pytest.raises(InvariantViolation, match=f"late: .*{job}"):
         world.run_to_time_limits()
 
 
@@ -337,9 +339,9 @@
         LocalJobs, "local_job_state", lambda self, job, now: None if job == dependent else real(self, job, now)
     )
     monkeypatch.setattr(LocalJobs, "is_certainly_pending", lambda self, job, now: False)
-    with pytest.raises(Broken, match=f"unanswered: {dependent}"):
-        world.run(60.0 + KNOWN_S + 20.0)
-    assert world.t > 60.0 + KNOWN_S - 6.0
+    with pytest.raises(InvariantViolation, match=f"unanswered: {dependent}"):
+        world.run(60.0 + MAX_STATUS_AGE_S + 20.0)
+    assert world.t > 60.0 + MAX_STATUS_AGE_S - 6.0
 
 
 def cancel_on_hanging_machine():
@@ -364,7 +366,7 @@
     monkeypatch.setattr(MachineShard, "on_stop_task", lambda self, stop: None)
     monkeypatch.setattr(OrderBuilder, "stop_orphans", lambda self, machine: None)
     world, job = cancel_on_hanging_machine()
-    with pytest.raises(Broken, match="ran_cancelled"):
+    with pytest.raises(InvariantViolation, match="ran_cancelled"):
         world.run(world.t + 60.0)
 
 
@@ -400,7 +402,7 @@
     world = calm_world()
     for number in range(100):
         world.after(0.3 * number, world.send_unusual_request)
-    with pytest.raises(Broken, match="took_flawed"):
+    with pytest.raises(InvariantViolation, match="took_flawed"):
         world.run(40.0)
 
 
@@ -425,7 +427,7 @@
     for seed in range(20000, 20040):
         try:
             run_concurrent_faults(seed, 5 - 2 * (seed % 2))
-        except Broken as broken:
+        except InvariantViolation as broken:
             if str(broken).startswith(rules):
                 return
     pytest.fail(f"no run showed {rules}")
--- a/tests/test_conditions_to_act.py
+++ b/tests/test_conditions_to_act.py
@@ -7,7 +7,7 @@
 import functools
 
 import pytest
-from simulation import Broken
+from simulation import InvariantViolation
 from test_failure_detector import ControllerFaultWorld, PausableController
 
 from alderbridge import constants
@@ -187,7 +187,7 @@
 @pytest.mark.parametrize("combination", DISABLED_CONDITIONS)
 def test_disabling_any_condition_lets_a_replaced_member_act(monkeypatch, combination):
     DISABLED_CONDITIONS[combination](monkeypatch)
-    with pytest.raises(Broken, match="left_out"):
+    with pytest.raises(InvariantViolation, match="left_out"):
         world, for_s = combination(31000)
         world.run(world.t + for_s)
 
@@ -265,7 +265,7 @@
     for seed in (32100, 32101):
         run_late_removal(seed)
     revive_failed_peers(monkeypatch)
-    with pytest.raises(Broken, match="left_out"):
+    with pytest.raises(InvariantViolation, match="left_out"):
         for seed in (32100, 32101):
             run_late_removal(seed)
 
@@ -297,7 +297,7 @@
 
 def test_late_view_that_replaces_a_newer_one_is_detected(monkeypatch):
     do_not_assert_older_view(monkeypatch)
-    with pytest.raises(Broken, match="left_out"):
+    with pytest.raises(InvariantViolation, match="left_out"):
         for seed in range(32000, 32010):
             run_late_views(seed)
 
@@ -391,7 +391,7 @@
         lambda self, lease_id, sent_at, *args: record_renewal(self, lease_id, worlds[0].t, *args),
     )
     monkeypatch.setattr(Membership, "record_sync", lambda self, sent_at: record_sync(self, worlds[0].t))
-    with pytest.raises(Broken, match="left_out"):
+    with pytest.raises(InvariantViolation, match="left_out"):
         pause_between_request_and_response(33102)
 
 
@@ -431,6 +431,6 @@
         return batch
 
     monkeypatch.setattr(RecordWriter, "next_batch", next_batch)
-    with pytest.raises(Broken, match="went_back"):
+    with pytest.raises(InvariantViolation, match="went_back"):
         for seed in range(33200, 33204):
             pause_before_end_is_written(seed)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 import simulation
-from simulation import Broken, World
+from simulation import InvariantViolation, World
 
 from alderbridge import cli, configuration, constants
 from alderbridge.configuration import (
@@ -278,7 +278,7 @@
             ):
                 self.applied_alone_at.setdefault(revision, self.t)
                 if self.any_may_act(outdated):
-                    raise Broken(
+                    raise InvariantViolation(
                         f"older_alone: {applied}, {outdated} act while others apply only {revision} at {self.t:.2f}"
                     )
 
@@ -292,13 +292,13 @@
         head = msgspec.json.decode(row[0], type=ConfigurationHead)
         before, self.last_head = self.last_head, (head.revision, head.digest)
         if head.revision < before[0] or (head.revision == before[0] and head.digest != before[1]):
-            raise Broken(f"older_wins: {before} -> {self.last_head}")
+            raise InvariantViolation(f"older_wins: {before} -> {self.last_head}")
         self.stored_at.setdefault(head.revision, self.t)
         for named in head.named:
             rows = [self.store.data.get(key) for key in records.piece_keys("hours", named)]
             text = b"" if None in rows else b"".join(msgspec.json.decode(one[0], type=bytes) for one in rows)
             if None in rows or (named.digest and compiler.digest_of(text) != named.digest):
-                raise Broken(f"torn: {named}")
+                raise InvariantViolation(f"torn: {named}")
 
     def run_and_check(self, until):
         self.run(until)
@@ -308,7 +308,7 @@
             assert sim.core.membership.may_act(self.t), label
             applied_revisions = sim.core.replica.declared.revisions_in_force("hours", self.t)
             if applied_revisions != [expected]:
-                raise Broken(f"not_in_force: {label} applies {applied_revisions}, {expected} is declared")
+                raise InvariantViolation(f"not_in_force: {label} applies {applied_revisions}, {expected} is declared")
             if sim.core.replica.declared.kinds and sim.core.replica.declared.kinds["hours"].head is not None:
                 assert sim.core.replica.declared.kinds["hours"].head.digest == self.last_head[1]
         remaining = {key for key in self.store.data if key.startswith(CONFIGURATIONS + "hours/")}
@@ -317,7 +317,10 @@
 
 def play(seed, until=290.0, **more):
     world = ConfigurationWorld(
-        seed, coming=NEXT_LIMITS if seed % 2 else None, tight_at=60.0 if seed % 4 == 1 else math.inf, **more
+        seed,
+        next_limits=NEXT_LIMITS if seed % 2 else None,
+        limits_lowered_at=60.0 if seed % 4 == 1 else math.inf,
+        **more,
     )
     world.run_and_check(until)
     return world
@@ -477,7 +480,7 @@
     for seed in range(first, first + 100):  # usually the first seed shows it
         try:
             play(seed, upgrade=fault is older_versions_not_waited_for)
-        except Broken as broken:
+        except InvariantViolation as broken:
             if str(broken).startswith(rule):
                 return
     pytest.fail(f"no run showed {rule}")
--- a/tests/test_failure_detector.py
+++ b/tests/test_failure_detector.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from simulation import Broken, SimController, World
+from simulation import InvariantViolation, SimController, World
 
 from alderbridge import constants
 from alderbridge.controller.core import ControllerCore
@@ -91,7 +91,7 @@
             for label, sim in self.controllers.items():
                 if sim.core is not None and (label, sim.core.membership.store_lease.lease_id) in self.removed_members:
                     if sim.core.membership.may_act(self.t):
-                        raise Broken(f"left_out: {label} acts at {self.t:.2f}")
+                        raise InvariantViolation(f"left_out: {label} acts at {self.t:.2f}")
 
     def on_view_written(self, view):
         old = self.view.members if self.view else {}
@@ -220,7 +220,7 @@
     for seed in range(12000, 12040):
         try:
             ControllerFaultWorld(seed, nodes=3 + 2 * (seed % 2), controller_faults=6).run(170.0)
-        except Broken as error:
+        except InvariantViolation as error:
             assert str(error).startswith("left_out")
             return
     pytest.fail("no run broke the invariant")
@@ -268,7 +268,7 @@
         ControllerState, "is_member", property(lambda self: True, lambda self, value: None), raising=False
     )
     with pytest.raises(
-        Broken, match="left_out: host-0"
+        InvariantViolation, match="left_out: host-0"
     ):  # a non-member accepts frames of members, and counts as the member
         for seed in range(13000, 13004):
             run_restarted_peer(seed)
--- a/tests/test_flapping.py
+++ b/tests/test_flapping.py
@@ -4,7 +4,7 @@
 import msgspec
 import pytest
 from controller_clock import patch_now
-from simulation import Broken, World, platform
+from simulation import InvariantViolation, World, platform
 
 from alderbridge import constants
 from alderbridge.controller.core import ControllerCore
@@ -366,7 +366,7 @@
         try:
             world = run_flapping(seed, until=230.0, **options)
             violation = "halted" if world.wrongly_halted else "unfinished_jobs" if unfinished_jobs(world) else ""
-        except Broken as error:
+        except InvariantViolation as error:
             violation = str(error)
         if violation.startswith(invariant):
             return
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 import simulation
-from simulation import Broken
+from simulation import InvariantViolation
 from test_preemption import ClaimsWorld
 
 from alderbridge import constants, preemption
@@ -643,7 +643,7 @@
                 self.specs[wire.split_task_id(task)[0]].gpus for task, on in self.running_on.items() if on == machine
             )
             if gpus > simulation.TYPES[kind.type].gpus:
-                raise Broken(f"gpus: {machine} has {gpus} in use")
+                raise InvariantViolation(f"gpus: {machine} has {gpus} in use")
 
     def check_claim(self, machine, claim):
         service = self.specs[claim.job]
@@ -653,15 +653,19 @@
             if other.job == claim.job and (name == machine or self.running_victims(name, other))
         )
         if not service.service or claimed > self.max_recently_waiting(claim.job):
-            raise Broken(f"no_need: {claim.job} at {self.t:.2f}: {claimed} for {self.max_recently_waiting(claim.job)}")
+            raise InvariantViolation(
+                f"no_need: {claim.job} at {self.t:.2f}: {claimed} for {self.max_recently_waiting(claim.job)}"
+            )
         for job, index, attempt in claim.victims:
             one = self.specs[job]
             self.claimed_attempts.add((f"{job}/{index}", attempt))
             self.preemption_counts[job, index] += 1
             if one.job_class != "tune" or self.preemption_counts[job, index] > 2:
-                raise Broken(f"protected: {job}/{index}, preempted {self.preemption_counts[job, index]} times")
+                raise InvariantViolation(
+                    f"protected: {job}/{index}, preempted {self.preemption_counts[job, index]} times"
+                )
             if one.team == service.team and one.rank >= service.rank:
-                raise Broken(f"preemption: {job} ({one.priority}) for {claim.job} ({service.priority})")
+                raise InvariantViolation(f"preemption: {job} ({one.priority}) for {claim.job} ({service.priority})")
         other_teams_victims = [
             self.specs[job]
             for name, other in self.stored_claims.items()
@@ -672,18 +676,18 @@
             for resource, minimum in enumerate(GUARANTEED[team]):
                 stopped = sum((one.cpus, one.gpus)[resource] for one in other_teams_victims if one.team == team)
                 if max(used[team, resource] for used in self.recent_use) - stopped < minimum:
-                    raise Broken(f"guarantee: {team} at {self.t:.2f}")
+                    raise InvariantViolation(f"guarantee: {team} at {self.t:.2f}")
         self.preemption_log.append((claim.planned_at, claim.team, len(claim.victims)))
         if (
             sum(count for claimed_at, _, count in self.preemption_log if claimed_at > claim.planned_at - 60.0)
             > LENDING_CONFIGURATION.gpus_per_minute
         ):
-            raise Broken(f"pace: limit in a minute exceeded at {self.t:.2f}")
+            raise InvariantViolation(f"pace: limit in a minute exceeded at {self.t:.2f}")
         if (
             sum(self.running_victims(name, other) for name, other in self.stored_claims.items())
             > LENDING_CONFIGURATION.max_stopping_gpus
         ):
-            raise Broken(f"pace: limit at once exceeded at {self.t:.2f}")
+            raise InvariantViolation(f"pace: limit at once exceeded at {self.t:.2f}")
 
 
 @pytest.fixture
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -9,7 +9,15 @@
 
 import msgspec
 import pytest
-from simulation import CANCEL_S, STORE_S, Broken, SimController, StoreRefusedError, TransactionTooLargeError, World
+from simulation import (
+    CANCEL_S,
+    STORE_S,
+    InvariantViolation,
+    SimController,
+    StoreRefusedError,
+    TransactionTooLargeError,
+    World,
+)
 from test_late_transactions import LEASE_S, SPEC, VIEW_SETTLED_S, SteppedController, machine_of
 
 from alderbridge import configuration, constants
@@ -723,7 +731,7 @@
 )
 def test_each_failover_guard_is_detected_when_removed(monkeypatch, fault, change, seed, rule):
     fault(monkeypatch)
-    with pytest.raises(Broken, match=rule):
+    with pytest.raises(InvariantViolation, match=rule):
         run_handover(seed, change, lost=True)
 
 
--- a/tests/test_machine_handover.py
+++ b/tests/test_machine_handover.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from simulation import Broken, SimWorker, World
+from simulation import InvariantViolation, SimWorker, World
 from test_late_transactions import LEASE_S, VIEW_SETTLED_S, SteppedController, machine_of
 from test_machine_proofs import LEASE_EXPIRY_PROOF_S, RUNNING, InboundBlockedWorld, MachineShardHarness
 
@@ -117,7 +117,7 @@
     def apply_order(self, order):
         """Fail if a machine without a record in the store gets a run order."""
         if order["verb"] == "run" and MACHINES + self.name not in self.world.store.data:
-            raise Broken(f"unrecorded: {order['part']} on {self.name} at {self.world.t:.2f}")
+            raise InvariantViolation(f"unrecorded: {order['part']} on {self.name} at {self.world.t:.2f}")
         self.world.run_orders[self.name] += order["verb"] == "run"
         super().apply_order(order)
 
@@ -318,7 +318,9 @@
 
     def apply_order(self, order):
         if order["verb"] == "run" and self.world.t < self.outbound_blocked_until:
-            raise Broken(f"run order to a machine with blocked outbound traffic: {order['part']} on {self.name}")
+            raise InvariantViolation(
+                f"run order to a machine with blocked outbound traffic: {order['part']} on {self.name}"
+            )
         super().apply_order(order)
 
 
--- a/tests/test_machine_proofs.py
+++ b/tests/test_machine_proofs.py
@@ -244,7 +244,7 @@
 
 
 class InboundBlockedWorker(SimWorker):
-    """Inbound blocked until ``deaf_until``: its heartbeats arrive, responses and commands to it are lost."""
+    """Inbound blocked until ``inbound_blocked_until``: its heartbeats arrive, responses and commands to it are lost."""
 
     inbound_blocked_until = 0.0
 
--- a/tests/test_one_zone_jobs.py
+++ b/tests/test_one_zone_jobs.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from simulation import LEASE_S, ROOM_S, Broken, SimWorker, World
+from simulation import LEASE_S, MAX_PLACEABLE_WAIT_S, InvariantViolation, SimWorker, World
 from simulation.one_zone import OneZoneWorld
 from test_machine_proofs import LEASE_EXPIRY_PROOF_S, RUNNING, MachineShardHarness
 
@@ -80,14 +80,14 @@
 
 def test_the_simulation_detects_accepted_heartbeats_of_expired_incarnations(monkeypatch):
     monkeypatch.setattr(HeartbeatHandler, "_refuse_if_expired", lambda handler, machine, heartbeat: False)
-    with pytest.raises(Broken, match="zone_conflict"):
+    with pytest.raises(InvariantViolation, match="zone_conflict"):
         OneZoneWorld(10).run(200.0)
 
 
 @pytest.mark.parametrize("seed", (10, 11, 15, 24, 25, 35, 40, 42, 44, 50, 100, 101))
 def test_one_zone_jobs_keep_to_a_zone_and_wait_for_no_proof_for_ever(seed):
     world = OneZoneWorld(seed)
-    world.run(world.faults_end_at + ROOM_S + 10.0)
+    world.run(world.faults_end_at + MAX_PLACEABLE_WAIT_S + 10.0)
     assert world.task_starts > 0
 
 
--- a/tests/test_partitioned_controllers.py
+++ b/tests/test_partitioned_controllers.py
@@ -4,7 +4,7 @@
 import msgspec
 import pytest
 from controller_clock import patch_now
-from simulation import Broken, World, platform
+from simulation import InvariantViolation, World, platform
 from test_failure_detector import ControllerFaultWorld
 from test_flapping import ignore_lease_id_of_member
 
@@ -93,7 +93,7 @@
 def test_removal_without_quorum_overlap_is_detected(monkeypatch):
     monkeypatch.setattr(Membership, "mark_quorum_overlap", lambda self, view, settled: view)
     for combination in FAULT_COMBINATIONS:
-        with pytest.raises(Broken, match="left_out"):
+        with pytest.raises(InvariantViolation, match="left_out"):
             combination()
 
 
@@ -297,7 +297,7 @@
 @pytest.mark.parametrize("fault", [ignore_contact, ignore_expiry_without_contact, answer_without_may_act])
 def test_disabling_any_guard_of_the_isolated_leader_is_detected(monkeypatch, fault):
     fault(monkeypatch)
-    with pytest.raises(Broken, match="went_back|ran_twice|ran_cancelled"):
+    with pytest.raises(InvariantViolation, match="went_back|ran_twice|ran_cancelled"):
         for seed in range(15100, 15104):
             run_isolated_leader(seed, 5)
 
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from simulation import TEAMS, TYPES, Broken, World
+from simulation import TEAMS, TYPES, InvariantViolation, World
 
 from alderbridge import preemption
 from alderbridge.claims.ledger import Ledger
@@ -194,7 +194,7 @@
             self.stored_claims.pop(machine, None)
         for machine, claim in new.items():
             if machine in self.stored_claims:
-                raise Broken(f"claimed_twice: {machine}")
+                raise InvariantViolation(f"claimed_twice: {machine}")
             self.stored_claims[machine] = claim
             self.claim_count += 1
             self.check_claim(machine, claim)
@@ -209,42 +209,42 @@
             if other.job == claim.job and (name == machine or self.running_victims(name, other))
         )
         if self.reported_ends.get(claim.job) == "done" or served_tasks > self.max_recently_waiting(claim.job):
-            raise Broken(
+            raise InvariantViolation(
                 f"no_need: {claim.job} at {self.t:.2f}: {served_tasks} for {self.max_recently_waiting(claim.job)}"
             )
         if any(task == claim.job for task, _ in self.preemption_counts):
-            raise Broken(f"cascade: {claim.job}")
+            raise InvariantViolation(f"cascade: {claim.job}")
         for job, index, attempt in claim.victims:
             spec = self.specs[job]
             # Only team "bound" has a guarantee: all work of team "free" is beyond its own.
             lower = wire.PRIORITIES.index(spec.priority) < wire.PRIORITIES.index(claimant.priority)
             if not lower and not (spec.team != team and self.within_guarantee(claim.job)):
-                raise Broken(f"preemption: {job} ({spec.priority}) for {claim.job} ({claimant.priority})")
+                raise InvariantViolation(f"preemption: {job} ({spec.priority}) for {claim.job} ({claimant.priority})")
             if any(
                 (job, index, attempt) in map(tuple, other.victims)
                 for name, other in self.stored_claims.items()
                 if name != machine
             ):
-                raise Broken(f"victim_twice: {job}/{index}")
+                raise InvariantViolation(f"victim_twice: {job}/{index}")
             self.claimed_attempts.add((f"{job}/{index}", attempt))
             self.preemption_counts[(job, index)] += 1
             if self.preemption_counts[(job, index)] > 2:
-                raise Broken(f"stops: {job}/{index} stopped {self.preemption_counts[(job, index)]} times")
+                raise InvariantViolation(f"stops: {job}/{index} stopped {self.preemption_counts[(job, index)]} times")
         # Claims are needed only for the tasks that lasting free capacity can't serve.
         shortfall = self.max_recently_waiting(claim.job) - self.lasting_free_capacity(claimant)
         if not self.faults_after_claims and served_tasks > shortfall:
-            raise Broken(f"no_need: claim for {claim.job} at {self.t:.2f}: {served_tasks} for {shortfall}")
+            raise InvariantViolation(f"no_need: claim for {claim.job} at {self.t:.2f}: {served_tasks} for {shortfall}")
         self.preemption_log.append((claim.planned_at, team, len(claim.victims)))
         if (
             sum(count for at, owner, count in self.preemption_log if owner == team and at > claim.planned_at - 60.0)
             > 12
         ):
-            raise Broken(f"budget: {team} a minute at {self.t:.2f}")
+            raise InvariantViolation(f"budget: {team} a minute at {self.t:.2f}")
         if (
             sum(self.running_victims(name, other) for name, other in self.stored_claims.items() if other.team == team)
             > 8
         ):
-            raise Broken(f"budget: {team} at once")
+            raise InvariantViolation(f"budget: {team} at once")
 
     def on_task_halted(self, task_id: str, task, worker) -> None:
         machines = [
@@ -257,7 +257,7 @@
         )
         # After failovers job shards also stop tasks for other reasons.
         if stopped_by_claim and (task_id, task.attempt) not in self.claimed_attempts:
-            raise Broken(f"unclaimed: {task_id} stopped on {worker.name} at {self.t:.2f}")
+            raise InvariantViolation(f"unclaimed: {task_id} stopped on {worker.name} at {self.t:.2f}")
 
     def inject_claim_fault(self, claims: list) -> None:
         rng, kind = self.rng, self.rng.random()
@@ -279,13 +279,13 @@
 
     def check_end(self) -> None:
         if self.stored_claims:
-            raise Broken(f"claims_left: {self.stored_claims}")
+            raise InvariantViolation(f"claims_left: {self.stored_claims}")
         for job in self.accepted:
             if job not in self.cancelled_at and self.reported_ends.get(job) != "done":
-                raise Broken(f"lost: {job} is {self.reported_ends.get(job)}")
+                raise InvariantViolation(f"lost: {job} is {self.reported_ends.get(job)}")
         for job, index in self.preemption_counts:
             if job not in self.cancelled_at and f"{job}/{index}" not in self.completed:
-                raise Broken(f"lost: victim {job}/{index}")
+                raise InvariantViolation(f"lost: victim {job}/{index}")
 
 
 def play(seed, until=700.0, **more):
@@ -370,7 +370,7 @@
     for seed in (first_seed, *range(40)):
         try:
             play(seed, until=260.0, nodes=3)
-        except Broken as broken:
+        except InvariantViolation as broken:
             if str(broken).startswith(violation):
                 return
     pytest.fail(f"no run showed {violation}")
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from simulation import Broken, SimController, World
+from simulation import InvariantViolation, SimController, World
 
 from alderbridge import constants
 from alderbridge.membership.records import MemberRecord
@@ -304,7 +304,9 @@
                 self.world.sent_types.add(type(frame.body))
                 peer_is_older = self.core.membership.protocol_versions.get(label) == OLDER_VERSION
                 if (self.label in self.world.older or peer_is_older) and isinstance(frame.body, DELTA_MESSAGES):
-                    raise Broken(f"message format: {type(frame.body).__name__} from {self.label} to {label}")
+                    raise InvariantViolation(
+                        f"message format: {type(frame.body).__name__} from {self.label} to {label}"
+                    )
         super().flush()
 
 
@@ -347,5 +349,5 @@
             protocol_version == constants.VERSION_WITH_QUEUE_DELTAS or all_support(self, protocol_version)
         ),
     )
-    with pytest.raises(Broken, match="message format"):
+    with pytest.raises(InvariantViolation, match="message format"):
         MixedVersionWorld(41001, ["host-2"], jobs=20, random_faults=False).run(60.0)
--- a/tests/test_quota_under_faults.py
+++ b/tests/test_quota_under_faults.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 import simulation
-from simulation import LEASE_S, TYPES, Broken, World
+from simulation import LEASE_S, TYPES, InvariantViolation, World
 from test_machine_proofs import MachineShardHarness
 from test_machines import SPEC
 
@@ -308,7 +308,7 @@
         busy = sorted({name for name in self.running_on.values() if self.machines.get(name) is not None})
         for name in rng.sample(busy, min(len(busy), rng.randint(1, 4))):
             begin, length = rng.uniform(0.0, 3.0), rng.choice([rng.uniform(2.0, 15.0), rng.uniform(15.0, 50.0)])
-            kind = rng.choice(["hang", "hang", "cut", "cut", "deaf", "held_up", "die"])
+            kind = rng.choice(["hang", "hang", "cut", "cut", "inbound_blocked", "held_up", "die"])
             self.after(begin, self.fail, name, kind, length)
             self.faults_end_at = max(self.faults_end_at, self.t + begin + length)
             here = sorted(
@@ -353,7 +353,7 @@
             attribute = {
                 "hang": "hangs_until",
                 "cut": "cut_until",
-                "deaf": "inbound_blocked_until",
+                "inbound_blocked": "inbound_blocked_until",
                 "held_up": "responses_delayed_until",
             }
             setattr(worker, attribute[kind], self.t + length)
@@ -414,7 +414,9 @@
             ):
                 self.avoidable_wait_since.pop(job, None)
             elif self.t - self.avoidable_wait_since.setdefault(job, self.t) > MAX_AVOIDABLE_WAIT_S:
-                raise Broken(f"avoidable_wait: {job} of {spec.team} since {self.avoidable_wait_since[job]:.1f}")
+                raise InvariantViolation(
+                    f"avoidable_wait: {job} of {spec.team} since {self.avoidable_wait_since[job]:.1f}"
+                )
 
     def used_cpus(self, team: str) -> float:
         specs = [self.specs[wire.split_task_id(task_id)[0]] for task_id in self.running_on]
@@ -486,7 +488,7 @@
     for seed in seeds:
         try:
             play_limits(seed, 5 if seed % 2 else 3)
-        except Broken as broken:
+        except InvariantViolation as broken:
             if str(broken).startswith("quota"):
                 return
     pytest.fail("no run showed quota")
--- a/tests/test_reconciliation.py
+++ b/tests/test_reconciliation.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from simulation import Broken, World
+from simulation import InvariantViolation, World
 from test_machines import SPEC, heartbeat, machine_shard_with_machine
 
 from alderbridge import constants, reconciliation
@@ -402,7 +402,7 @@
 @pytest.mark.parametrize("seed", range(9000, 9005))
 def test_every_job_ends_although_all_controllers_fail_twice(seed):
     """Guards against jobs that hang after all controllers fail a second time, about a minute after the first."""
-    world = World(seed, nodes=5, jobs=16, random_faults=False, falls=2)
+    world = World(seed, nodes=5, jobs=16, random_faults=False, total_failures=2)
     world.run(420.0)
     assert world.task_starts > 0 and not unfinished_jobs(world)
     assert not world.wrongly_halted, "running tasks are not stopped by a failover"
@@ -410,14 +410,14 @@
 
 @pytest.mark.parametrize("seed", (9100,))
 def test_every_job_ends_with_a_hundred_machines(seed):
-    world = World(seed, nodes=5, jobs=40, random_faults=False, falls=1, machines=100, rush=True)
+    world = World(seed, nodes=5, jobs=40, random_faults=False, total_failures=1, machines=100, large_jobs=True)
     world.run(360.0)
     assert len(world.machines) >= 100 and not unfinished_jobs(world) and not world.wrongly_halted
 
 
 @pytest.mark.parametrize("seed", range(9200, 9203))
 def test_invariants_hold_when_all_controllers_fail_during_an_upgrade(seed):
-    world = World(seed, nodes=5, jobs=14, random_faults=False, falls=2, upgrade=True)
+    world = World(seed, nodes=5, jobs=14, random_faults=False, total_failures=2, upgrade=True)
     world.run(420.0)
     assert not unfinished_jobs(world)
 
@@ -444,10 +444,10 @@
 def test_invariants_detect_a_broken_transition_table(monkeypatch, fault, rule):
     fault(monkeypatch)
     for seed in range(9301, 9340):
-        world = World(seed, nodes=5, jobs=16, random_faults=False, falls=2, slow=True)
+        world = World(seed, nodes=5, jobs=16, random_faults=False, total_failures=2, slow_restarts=True)
         try:
             world.run(200.0)
-        except Broken as broken:
+        except InvariantViolation as broken:
             if str(broken).startswith(rule):
                 return
         if rule == "halted" and world.wrongly_halted:
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from simulation import Broken, World
+from simulation import InvariantViolation, World
 
 from alderbridge.controller.local_jobs import LocalJobs
 from alderbridge.jobs.dependencies import Graph
@@ -41,7 +41,7 @@
 @pytest.mark.parametrize("seed", range(7000, 7009))
 def test_invariants_hold_when_many_machines_fail_together(seed):
     """30 to 90 % of the machines crash, hang or are cut off at once, often with all controllers."""
-    assert play(seed, until=260.0, nodes=5, groups=True).task_starts > 0
+    assert play(seed, until=260.0, nodes=5, group_faults=True).task_starts > 0
 
 
 @pytest.mark.parametrize("seed", (100, 101))
@@ -66,7 +66,13 @@
 def test_invariants_hold_during_a_rolling_upgrade(seed):
     """All controllers start as the previous version and restart one by one as the new; some crash before that."""
     world = play(
-        seed, until=260.0, nodes=3 + 2 * (seed % 2), pipelines=4, upgrade=True, coming=NEXT_LIMITS, tight_at=110.0
+        seed,
+        until=260.0,
+        nodes=3 + 2 * (seed % 2),
+        pipelines=4,
+        upgrade=True,
+        next_limits=NEXT_LIMITS,
+        limits_lowered_at=110.0,
     )
     assert any(world.reported_ends.get(job) == "done" for job, spec in world.specs.items() if spec.dependencies)
     assert world.store.rejected_as_too_large == 0
@@ -74,7 +80,7 @@
 
 @pytest.mark.parametrize("seed", (5000, 5001))
 def test_lower_store_limits_than_announced_cost_no_store_lease_and_no_job(seed):
-    world = play(seed, until=300.0, random_faults=False, pipelines=3, tight_at=60.0)
+    world = play(seed, until=300.0, random_faults=False, pipelines=3, limits_lowered_at=60.0)
     assert world.store.rejected_as_too_large > 0
     fencing_tokens = {sim.core.membership.fencing_token for sim in world.controllers.values()}
     unfinished = [job for job in world.accepted if job not in world.reported_ends and not world.specs[job].service]
@@ -83,7 +89,7 @@
 
 def test_a_job_may_have_more_dependencies_than_its_record_holds():
     """Dependencies that exceed the size limit of a record are stored under separate keys."""
-    world = play(7, until=30.0, jobs=40, random_faults=False, coming=NEXT_LIMITS)
+    world = play(7, until=30.0, jobs=40, random_faults=False, next_limits=NEXT_LIMITS)
     needs = [f"wk-{number:018d}" for number in range(150)]
     for need in needs[:-1]:
         record = Record(JobState.DONE)
@@ -307,7 +313,7 @@
     for seed in range(200):
         try:
             play(seed, until=180.0, pipelines=6 if invariant in PIPELINE_INVARIANTS else 0)
-        except Broken as error:
+        except InvariantViolation as error:
             if str(error).startswith(invariant):
                 return
     pytest.fail(f"no run violated {invariant}")
--- a/tests/test_store_gap.py
+++ b/tests/test_store_gap.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from simulation import CANCEL_S, LEASE_S, Broken, SimController, World
+from simulation import CANCEL_S, LEASE_S, InvariantViolation, SimController, World
 from test_conditions_to_act import without_freshness
 from test_machines import heartbeat, machine_shard_with_machine
 
@@ -171,7 +171,7 @@
 )
 def test_disabling_any_condition_violates_the_cancellation_bound(monkeypatch, fault, options):
     fault(monkeypatch)
-    with pytest.raises(Broken, match="ran_cancelled"):
+    with pytest.raises(InvariantViolation, match="ran_cancelled"):
         run_store_gap(2, **options)
 
 
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -13,7 +13,7 @@
 
 
 def run_outage(seed, outage_s=OUTAGE_S):
-    world = World(seed, random_faults=False, nodes=5, jobs=6, rush=True)
+    world = World(seed, random_faults=False, nodes=5, jobs=6, large_jobs=True)
     returned, drops = [], []
     remove, commit = world.terminate, world.store.commit
 
--- a/tests/test_upgrade_under_faults.py
+++ b/tests/test_upgrade_under_faults.py
@@ -7,7 +7,7 @@
 import msgspec
 import production
 import pytest
-from simulation import KNOWN_S, Broken, SimController, World
+from simulation import MAX_STATUS_AGE_S, InvariantViolation, SimController, World
 from test_conditions_to_act import ActConditionsWorld, WatchFaultController
 
 from alderbridge import constants
@@ -67,12 +67,14 @@
         self.mixed_views += len(versions) > 1
         self.contact_views += view.contact_timeout_s > 0
         if len(versions) > 1 and view.contact_timeout_s:
-            raise Broken("unsupported_contact: a view has a contact timeout though a member does not support it")
+            raise InvariantViolation(
+                "unsupported_contact: a view has a contact timeout though a member does not support it"
+            )
 
 
 def play_upgrade(seed, nodes):
     world = UpgradeWorld(seed, nodes)
-    world.run(max(240.0, world.faults_end_at + KNOWN_S + 5.0))
+    world.run(max(240.0, world.faults_end_at + MAX_STATUS_AGE_S + 5.0))
     world.check_final_status_age()
     return world
 
@@ -141,7 +143,7 @@
         self.older_version_margin_s = 0.0
 
     monkeypatch.setattr(Membership, "observe_member", observe_member)
-    with pytest.raises(Broken, match="ran_twice"):
+    with pytest.raises(InvariantViolation, match="ran_twice"):
         for seed in range(42024, 42036):
             play_new_member_missing_a_view(seed)
 
@@ -149,5 +151,5 @@
 def test_view_with_contact_timeout_unsupported_by_a_member_is_detected(monkeypatch):
     """An old member's frames carry no incarnation, so it would never count as in contact."""
     monkeypatch.setattr(Membership, "contact_timeout_for", lambda self, members: 8.0 if len(members) > 2 else 0.0)
-    with pytest.raises(Broken, match="unsupported_contact"):
+    with pytest.raises(InvariantViolation, match="unsupported_contact"):
         play_upgrade(41000, 3)
