--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -155,7 +155,7 @@
 
     def check_jobs_answered(self) -> None:
         """Checks that each open job got a status within ``MAX_STATUS_AGE_S``, counted from the end of the faults."""
-        for job in self.accepted:
+        for job in sorted(self.accepted):
             since = max(self.last_status_at.get(job, self.accepted_at.get(job, self.t)), self.faults_end_at)
             if job not in self.reported_ends and self.t - since > MAX_STATUS_AGE_S:
                 raise InvariantViolation(f"unanswered: {job} since {since:.1f}")
@@ -232,7 +232,7 @@
 
     def largest_jobs(self) -> list[str]:
         classes: dict[str, list[wire.JobSpec]] = {}
-        for job in self.accepted:
+        for job in sorted(self.accepted):
             if job not in self.cancelled_at and not self.specs[job].dependencies:
                 classes.setdefault(self.specs[job].job_class, []).append(self.specs[job])
         result = []
--- a/tests/test_quota_under_faults.py
+++ b/tests/test_quota_under_faults.py
@@ -395,7 +395,7 @@
                     free_cpus[worker] -= self.specs[job].cpus
                     zones.setdefault(job, []).append(worker.kind.zone)
         remaining = {team.name: team.cpus_max - self.used_cpus(team.name) for team in LIMITED_TEAMS}
-        for job in self.accepted:
+        for job in sorted(self.accepted):
             spec, used_zones = self.specs[job], zones.get(job, [])
             done = sum(f"{job}/{index}" in self.completed for index in range(spec.tasks))
             waits = (
