Jobs: the check for a zone conflict compares with one run, not with all of them

The check for runs in two zones, added with the log line zone_conflict, counted all runs of a one-zone job at each adopted task: quadratic in the job, on the path of a failover. Until a conflict all runs share a zone, so one of them will do; the same line is logged in the same cases.

--- a/alderbridge/jobs/job_tasks.py
+++ b/alderbridge/jobs/job_tasks.py
@@ -115,7 +115,8 @@
         self.grant(index, run)
         if not self.has_started and run.state is TaskState.RUNNING:
             self._record_first_start("a task of it runs already")
-        if self.spec.one_zone and not self.zone_conflict_logged and len(self.runs_by_zone()) > 1:
+        # Until a conflict all runs share a zone, so any other run will do for the comparison.
+        if self.spec.one_zone and not self.zone_conflict_logged and next(iter(self.runs.values())).zone != run.zone:
             self._log_zone_conflict(index, run)
 
     def progress(self, index: int, state: TaskState) -> None:
