--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -22,10 +22,8 @@
     from simulation.controller import SimController
     from simulation.worker import SimTask, SimWorker
 
-MAX_STATUS_AGE_S, LARGEST_START_LIMIT_S = (
-    75.0,
-    240.0,
-)  # maximum time without a status for a job; until the largest jobs start
+MAX_STATUS_AGE_S = 75.0  # maximum time without a status for a job
+LARGEST_START_LIMIT_S = 240.0  # maximum time until the largest jobs start
 MAX_PLACEABLE_WAIT_S = 90.0  # maximum wait while free capacity suits the job, after the faults have ended
 
 
