--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -271,9 +271,10 @@
 def main(play: Callable[[Path, bool], Awaitable[list[str]]], folder: Path) -> int:
     """Play a case; exit status 0: the rule held, 1: it was broken, 2: the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that a case that is ended ends its processes
     try:
         broken = asyncio.run(asyncio.wait_for(play(folder, trouble), 117.0))
-    except (CannotRunError, TimeoutError) as error:
+    except (CannotRunError, TimeoutError, KeyboardInterrupt) as error:
         print(f"cannot run: {error!r}")
         return 2
     print("\n".join(broken) if broken else "held")
