--- a/review/common/net.py
+++ b/review/common/net.py
@@ -137,7 +137,7 @@
         try:
             await self.passing.wait()
             other_reader, other_writer = await asyncio.open_connection(self.host, self.target_port)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         both = {writer, other_writer}
