Review: runs side by side do not share ports

Each run has a block of ports of its own, and a controller that ends by itself makes a run one that could not be played.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -126,7 +126,7 @@
         for label in LABELS:
             self.start_controller(label)
         for label in LABELS:
-            if not await self.wait_healthy(label, 20.0):
+            if not await self.wait_healthy(label, 20.0) or self.processes[label].poll() is not None:
                 raise CannotRunError(f"{label} is not healthy")
 
     async def wait_healthy(self, label: str, seconds: float) -> bool:
@@ -193,7 +193,8 @@
         self.processes[label].send_signal(signal.SIGSTOP if stands_still else signal.SIGCONT)
 
     def stop(self) -> None:
-        """End all processes and stand-ins."""
+        """End all processes and stand-ins; a controller that ended by itself, as for a port in use, spoils the run."""
+        codes = {label: process.poll() for label, process in self.processes.items()}
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -205,6 +206,9 @@
             print(f"kept {self.folder}", file=sys.stderr)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
+        ended = [label for label, code in codes.items() if code not in (None, -signal.SIGKILL)]
+        if ended:
+            raise CannotRunError(f"ended by themselves: {ended}")
 
     # Users
 
--- a/review/common/net.py
+++ b/review/common/net.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -12,11 +14,20 @@
 Handler = Callable[[str, str, dict[str, str], Any], Awaitable[tuple[int, Any] | None]]
 
 
+# A block of its own for each process, below the ephemeral ports: cases that run side by side do not meet.
+_ports = itertools.count(12_000 + os.getpid() * 16 % 20_000)
+
+
 def free_port() -> int:
     """A loopback port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    while True:
+        port = next(_ports)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 async def _read_message(reader: asyncio.StreamReader) -> tuple[str, bytes, bool]:
