Log: an inherited job tells its unfinished dependencies, and a list that was not read

New: `job=J state=inherited` (debug) with the number of unfinished dependencies and the first of them; `job=J state=waiting cause=a list of its dependencies was not read` (warning).

--- a/alderbridge/controller/view_entry.py
+++ b/alderbridge/controller/view_entry.py
@@ -132,6 +132,16 @@
         job = Job(record, revision, now, max(0.0, wall - record.submitted_at), never_started=is_waiting)
         job.inherited = True
         self.dependencies.apply(job)
+        if log.isEnabledFor(logging.DEBUG):
+            unfinished = self.dependencies.graph.unfinished(name)
+            log.debug(
+                "job=%s state=inherited done=%d tasks=%d unfinished_dependencies=%d first=%s",
+                name,
+                job.done.count,
+                job.spec.tasks,
+                len(unfinished),
+                unfinished[0] if unfinished else "",
+            )
         return job
 
     def lease_acquired(self, lease_id: int, sent_at: float, now: float) -> None:
--- a/alderbridge/jobs/dependencies.py
+++ b/alderbridge/jobs/dependencies.py
@@ -70,6 +70,11 @@
         node = self.nodes.get(job)
         return node is not None and bool(node.unfinished)
 
+    def unfinished(self, job: str) -> list[str]:
+        """The dependencies that are not stored as done, in alphabetical order."""
+        node = self.nodes.get(job)
+        return sorted(node.unfinished) if node is not None else []
+
     def ready_at(self, job: str) -> float:
         """Time of day when the job became ready, as known so far; 0 if its own record has not been added."""
         node = self.nodes.get(job)
--- a/alderbridge/state/replica.py
+++ b/alderbridge/state/replica.py
@@ -209,6 +209,8 @@
             # A list is written before the job's record and deleted after the job's end. So if a list is missing, the
             # job has ended, and that has not been read yet. Until then the key stands in for its dependencies: no job
             # has that name, so it is a dependency that is not met.
+            if key not in self.dependency_lists:
+                log.warning("job=%s state=waiting cause=a list of its dependencies was not read list=%s", job, key)
             result += self.dependency_lists.get(key, [key])
         return result
 
