Replica: a read in pages is applied as the state of one revision

What callers saw: an accepted job, the last of a pipeline, is answered `pending` for ever after a controller was restarted.

Cause: the pages of a read of the store may be of different revisions, and `StoreFollower.load` applied all rows before the changes that reconcile them. A job's record of an early page referred to a list of dependencies that its owner deleted before the page with the lists was read. The key of the missing list stood in as a dependency that is not met, and the later record, without dependencies, does not touch a job that the graph has. The job also counted as never started.

The recovery barrier is lifted and nothing is asked for or refused, which rules out inherited tasks and placement.

It works for any two keys that are read in different pages, on the first read and on a re-read.

--- a/alderbridge/controller/store_follower.py
+++ b/alderbridge/controller/store_follower.py
@@ -15,8 +15,9 @@
 from alderbridge.jobs.record import JobState, Record
 from alderbridge.machines.shard import MachineShard
 from alderbridge.protocol import wire
-from alderbridge.protocol.keys import DEPENDENCY_LISTS, JOBS, MACHINES
+from alderbridge.protocol.keys import JOBS, MACHINES
 from alderbridge.state.replica import Replica
+from alderbridge.state.snapshot import snapshot
 
 log = logging.getLogger("core")
 
@@ -69,7 +70,8 @@
     ) -> None:
         """Load all rows, whose pages may be of different store revisions, and the changes since the first page.
 
-        No component is notified before the changes have been applied, as the rows alone may be inconsistent.
+        Both are merged first, and no component is notified before all is applied: rows of different revisions, or only
+        some of them, may be inconsistent.
         """
         self.state.now, self.state.wall_offset_s = now, wall - now
         view_changed = False
@@ -78,13 +80,7 @@
         self.membership.registered.clear()
         self.declared.reload()
         self.replica.ledger.discard_up_to(revision)
-        for row in sorted(
-            rows, key=lambda row: not row.key.startswith(DEPENDENCY_LISTS)
-        ):  # before the records that refer to them
-            view_changed = (
-                self.replica.apply(wire.WatchEvent(put=row.key, data=row.data, revision=row.revision)) or view_changed
-            )
-        for change in changes:
+        for change in snapshot(rows, changes):
             view_changed = self.replica.apply(change) or view_changed
         self.replica.revision = revision
         if view_changed:
--- a/alderbridge/protocol/store.py
+++ b/alderbridge/protocol/store.py
@@ -35,6 +35,11 @@
     data: msgspec.Raw = msgspec.Raw(b"null")
     revision: int = field(name="stamp", default=0)
 
+    @property
+    def key(self) -> str:
+        """The key that was put or dropped."""
+        return self.put if self.put is not None else self.drop or ""
+
 
 class WatchResponse(Struct, frozen=True):
     """All changes up to ``revision``, in order."""
--- a/alderbridge/state/replica.py
+++ b/alderbridge/state/replica.py
@@ -109,10 +109,7 @@
 
     def apply(self, change: WatchEvent) -> bool:
         """Apply one change; true if it was a newer view. Ignores keys with the unknown prefix of a later version."""
-        if change.put is not None:
-            key, data = change.put, change.data
-        else:
-            key, data = change.drop or "", None
+        key, data = change.key, change.data if change.put is not None else None
         if key == VIEW:
             return data is not None and self.membership.observe_view(
                 decode_strictly(_view_decoder, key, data), change.revision
@@ -206,9 +203,9 @@
         """All dependencies of a job, from its record and its dependency lists."""
         result = list(record.spec.dependencies or ()) if record.spec is not None else []
         for key in dependency_list_keys(job, record.dependency_digest):
-            # A list is written before the job's record and deleted after the job's end. So if a list is missing, the
-            # job has ended, and that has not been read yet. Until then the key stands in for its dependencies: no job
-            # has that name, so it is a dependency that is not met.
+            # A list is written before the record that refers to it, and deleted after a record that no longer does: at
+            # any one revision it exists. If it is missing here or can't be decoded, its key stands in for its
+            # dependencies: no job has that name, so it is a dependency that is not met.
             if key not in self.dependency_lists:
                 log.warning("job=%s state=waiting cause=a list of its dependencies was not read list=%s", job, key)
             result += self.dependency_lists.get(key, [key])
--- a/tests/test_late_transactions.py
+++ b/tests/test_late_transactions.py
@@ -85,12 +85,17 @@
 
     def other_member(self, label: str) -> "SteppedController":
         """The controller core of another member, with the same store."""
+        other = self.unloaded_member(label)
+        other.reload()
+        return other
+
+    def unloaded_member(self, label: str) -> "SteppedController":
+        """The controller core of another member, which has not read the store yet."""
         other = object.__new__(SteppedController)
         other.t, other.store, other.me, other.lease_ids = self.t, self.store, label, self.lease_ids
         other.core = ControllerCore(platform(label, LABELS[:3]), Tuning(), self.t)
         other.core.machine_types.update(TYPES)
         other.core.view_entry.lease_acquired(self.lease_ids[label], self.t, self.t)
-        other.reload()
         return other
 
     def register_member(self, label: str) -> None:
