Submissions: a record read after a conflict waits for its dependency lists

What callers saw: nothing yet; suspected by the review. An accepted job with more dependencies than its record holds waits for ever at a controller that inherits it, if its submission had been repeated there before the watch showed the first one.

Cause: after the conflict the controller reads the job's record and takes it into its replica, ahead of the lists that the record refers to. The keys of the lists stand in as dependencies that are never met, and the record that the watch shows after the lists is not newer, so it is passed over.

Two controllers over a simulated store; not brought about with real processes.

Fix: an active record whose lists are not in the replica is left to the watch, which delivers the lists and then the record. Ends and all other records are taken as before, so a member's own unanswered submission is still joined at once.

--- a/alderbridge/controller/batch_results.py
+++ b/alderbridge/controller/batch_results.py
@@ -176,6 +176,10 @@
     def _resolve_submission(self, submission: Submission, record: Record, revision: int, current: bool) -> None:
         job = submission.job
         name = job.spec.id
+        if record.state is JobState.ACTIVE and not self.replica.has_dependency_lists(name, record):
+            # Another member has accepted the job. The watch will deliver its lists, and then its record.
+            self.submissions.decide(submission, "known")
+            return
         self.replica.observe_job(name, record, revision)
         accepted_here = (
             record.accepted_by == self.state.me
--- a/alderbridge/state/replica.py
+++ b/alderbridge/state/replica.py
@@ -199,6 +199,10 @@
             self.jobs_by_submission = [entry for entry in self.jobs_by_submission if entry[1] in self.active_jobs]
         return self.jobs_by_submission
 
+    def has_dependency_lists(self, job: str, record: Record) -> bool:
+        """Whether all dependency lists that the record refers to are here."""
+        return all(key in self.dependency_lists for key in dependency_list_keys(job, record.dependency_digest))
+
     def needs(self, job: str, record: Record) -> list[str]:
         """All dependencies of a job, from its record and its dependency lists."""
         result = list(record.spec.dependencies or ()) if record.spec is not None else []
--- a/tests/test_dependency_lists.py
+++ b/tests/test_dependency_lists.py
@@ -118,3 +118,19 @@
     puts = {change.put: (bytes(change.data), change.revision) for change in applied if change.put is not None}
     assert puts == {key: (data, revision) for key, (data, revision, _) in store.data.items()}
     assert reader.core.replica.revision == store.revision
+
+
+def test_a_job_known_from_a_conflict_before_its_dependency_lists_is_not_blocked_for_ever():
+    """Guards against an inherited job that waits forever, as its record was read ahead of its lists."""
+    owner = SteppedController("host-1")
+    reader = owner.other_member("host-1")
+    reader.core.job_shard.value_bytes = RECORD_BYTES
+    submit_last(owner)
+    repeated = reader.core.submissions.submit(LAST, reader.t, reader.t)
+    reader.write_due_records()
+    assert repeated.outcome == "known"
+    reader.follow()
+    assert reader.core.replica.graph.unfinished(LAST.id) == NEEDED
+    end_needed_jobs(owner)
+    reader.follow()
+    assert not take_over(reader).is_blocked
