Tests: pipelines end while restarted controllers read the store in pages

In this world, a controller that was down reads it in pages while a pipeline's last job goes on under another owner.

--- a/tests/test_dependency_lists.py
+++ b/tests/test_dependency_lists.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 from controller_clock import patch_now
-from simulation import SimStore
+from simulation import SimController, SimStore, World
 from test_late_transactions import SPEC, SteppedController
 
 from alderbridge.controller.loops.replica import ReplicaLoop
@@ -134,3 +134,103 @@
     end_needed_jobs(owner)
     reader.follow()
     assert not take_over(reader).is_blocked
+
+
+class PagedReadController(SimController):
+    """Reads the whole store in pages, each as of its own revision, and then the changes since the first page."""
+
+    def follow(self):
+        core, store, world = self.core, self.world.store, self.world
+        if core.state.loaded:
+            super().follow()
+            return
+        if self.follow_busy:
+            return
+        self.follow_busy = True
+        rows, revisions = [], []
+
+        def read(after: str, sent: float):
+            store.expire_leases()
+            later_rows = [row for row in store.rows() if row.key > after]
+            return later_rows, store.events_after(revisions[0] if revisions else 0), store.revision, sent
+
+        def done(answer):
+            later_rows, changes, revision, sent = answer
+            revisions.append(revision)
+            rows.extend(later_rows[:PAGE_KEYS])
+            if later_rows:
+                pause_s = world.rng.uniform(0.1, 1.0)
+                world.after(pause_s, self.call, done, failed, read, rows[-1].key, world.t + pause_s)
+                return
+            self.follow_busy = False
+            core.membership.record_sync(sent)
+            core.store_follower.load(rows, changes, revision, world.t, world.t + self.ahead_s)
+
+        def failed():
+            self.follow_busy = False
+
+        self.call(done, failed, read, "", world.t)
+
+
+class PipelinesWorld(World):
+    """Jobs with more dependencies than their records hold; who accepted one is down while most of these end."""
+
+    controller_class = PagedReadController
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, jobs=0, random_faults=False)
+        self.unfinished: dict[str, set[str]] = {}  # job -> its dependencies that have not ended
+        self.lists_seen: set[str] = set()  # jobs whose records referred to lists
+        self.store.on_job_ended = self.on_job_ended
+        for number in (100, 200):
+            self.add_pipeline(number)
+
+    def on_core_created(self, core) -> None:
+        core.job_shard.value_bytes = RECORD_BYTES
+
+    def add_pipeline(self, number: int) -> None:
+        needed = [self.add_job(number + index, tasks=1, cpus=1.0, estimate_s=40.0) for index in range(40)]
+        for spec in needed:
+            self.after(self.rng.uniform(1.0, 10.0), self.submit, spec)
+        needs = [spec.id for spec in needed]
+        last = self.add_job(number + 50, tasks=24, cpus=4.0, estimate_s=5.0, dependencies=needs)
+        self.unfinished[last.id] = set(needs)
+        self.submit_when_accepted(needs, last)
+
+    def add_job(self, number: int, **more) -> wire.JobSpec:
+        anywhere = {"types": None, "zone": None, "one_zone": False, "spread": False}
+        spec = msgspec.structs.replace(self.make_job(number), kind="sweep", team="free", **anywhere, **more)
+        self.specs[spec.id] = spec
+        return spec
+
+    def cancel(self, job: str) -> None:
+        """No user cancels, so that every pipeline ends."""
+
+    def on_job_ended(self, job: str) -> None:
+        for last, unfinished in self.unfinished.items():
+            if job in unfinished:
+                unfinished.remove(job)
+                self.on_dependency_ended(last, len(unfinished))
+
+    def on_dependency_ended(self, last: str, left: int) -> None:
+        """Crash who accepted the job, and restart it about when the job's first tasks end."""
+        if JOBS + last not in self.store.data:
+            return
+        record = msgspec.json.decode(self.store.data[JOBS + last][0], type=Record)
+        if record.dependency_digest:
+            self.lists_seen.add(last)
+        sim = self.controllers[record.accepted_by]
+        if left == 20 and sim.core is not None:
+            self.after(0.0, sim.crash)
+        elif left == 0:
+            self.after(self.rng.uniform(0.0, 8.0), self.restart, sim)
+
+
+@pytest.mark.parametrize("seed", (0, 1, 5, 14, 41, 59, 66))
+def test_pipelines_end_while_restarted_controllers_read_the_store_in_pages(seed):
+    """Guards against a job that waits forever, as its record and its lists were read at different revisions."""
+    world = PipelinesWorld(seed)
+    while world.t < 600.0 and world.unfinished.keys() - world.reported_ends.keys():
+        world.run(world.t + 10.0)
+    assert len(world.lists_seen) == len(world.unfinished), "no record refers to a list"
+    assert world.reported_ends.items() >= dict.fromkeys(world.unfinished, "done").items()
