--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -487,7 +487,7 @@
         """One report; returns the pause before the next."""
         tenure, sent_at = self.tenure, now()
         if self.client is None:
-            self.client = HttpClient(self.platform.addresses[self.label])
+            self.client = self.platform.client_class(self.platform.addresses[self.label])
         answer = await self.client.request("POST", "/agent/beat", encode(self.body()), REPORT_TIMEOUT_S)
         self.platform.on_report(self, answer)
         if answer is not None and answer[0] == 200:
@@ -641,6 +641,8 @@
         self.capacity = 12  # machines that the cloud has in all
         self.where: dict[str, set[str]] = {}  # task -> machines that it is on
         self.violations: list[str] = []
+        self.jobs_done: set[str] = set()  # tasks that completed
+        self.client_class = HttpClient  # of the workers
         self.restart_delay_s = 6.0
         self.peers_of: dict[str, dict[str, str]] = {}  # label -> peer -> address, where not the peer's own
 
@@ -664,6 +666,8 @@
             there.add(worker.name)
         else:
             there.discard(worker.name)
+            if event == "done":
+                self.jobs_done.add(part)
 
     def on_report(self, worker, answer):
         """A worker's report was answered, or not."""
