--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -614,6 +614,45 @@
 }
 
 
+FJORDLINE = {
+    "zones": ["trondheim-dc"],
+    "teams": [
+        {"name": name, "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}
+        for name in ("booking-desk", "route-planning", "clinic-liaison", "finance-office")
+    ],
+    "objectives": [
+        {"kind": "wait", "class": "urgent-rebook", "within_s": 20.0, "share": 0.96},
+        {"kind": "finished", "class": "urgent-rebook", "within_s": 60.0, "share": 0.96},
+        {"kind": "finished", "class": "notice-send", "within_s": 100.0, "share": 0.9},
+    ],
+    "workers": {"report_s": 3.0, "lease_s": 21.0, "gang_wait_s": 35.0, "gang_peer_s": 8.0, "cancel_s": 46.0},
+    "state": {"rps": 250.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 24},
+    "cloud": {"rps": 1.5, "list_lag_s": 12.0},
+    "limits": {"cpu": 0.75, "memory_mb": 266.0, "max_sockets": 1800},
+    "skew_ms": 250.0,
+    "count": 3,
+}
+
+FJORDLINE_KINDS = {
+    name: {
+        "name": name,
+        "vcpus": cpus,
+        "accelerators": 0.0,
+        "mem_gb": memory,
+        "local_gb": cache,
+        "pull_gb_per_s": fetch,
+        "rate": rate,
+        "spot_price": spot,
+        "ready_s": boot,
+    }
+    for name, cpus, memory, cache, fetch, rate, spot, boot in (
+        ("liten", 4.0, 16.0, 50.0, 0.4, 0.26, 0.08, 35.0),
+        ("middels", 16.0, 128.0, 80.0, 0.3, 1.1, 0.34, 50.0),
+        ("stor", 32.0, 128.0, 30.0, 0.2, 2.12, 0.69, 50.0),
+    )
+}
+
+
 class Platform:
     """The whole stand-in: it starts controllers, state service, cloud, workers and users, and keeps the record."""
 
@@ -931,6 +970,29 @@
             await asyncio.sleep(0.05)
         self.note(f"state service has {len(state.keys)} keys")
 
+    async def watch_memory(self, most, ended):
+        """Kill a process over its memory limit and start it again; ``most``: MB held; ``ended``: labels of those."""
+        # In the service's favour: anonymous memory alone, and 2**20 bytes to the MB.
+        limit = self.params["limits"]["memory_mb"] * 1.048576
+        while True:
+            await asyncio.sleep(0.05)
+            for label, process in list(self.processes.items()):
+                try:
+                    held = memory_mb(process.pid) if process.returncode is None else 0.0
+                except OSError:
+                    continue
+                most[label] = max(most.get(label, 0.0), held)
+                if held > limit:
+                    self.note(f"controller {label} holds {held:.0f} MB of {limit:.0f}")
+                    ended.append(label)
+                    await self.kill(label, "over its memory limit")
+                    asyncio.create_task(self.start_later(label))
+
+    async def start_later(self, label):
+        """Start a controller that was killed again."""
+        await asyncio.sleep(self.restart_delay_s)
+        await self.spawn(label)
+
     async def stop(self):
         """End all processes that this started, and keep the ends of their logs."""
         for label in list(self.processes):
