--- a/review/4/case.py
+++ b/review/4/case.py
@@ -30,6 +30,7 @@
         )
         for _ in range(30):
             answer = await client.request("POST", "/v1/jobs", body, 5.0)
+            platform.note(f"user submits wk-{number + 100:06d} parts={PARTS} answer={answer}")
             if answer is not None and answer[0] in (200, 201):
                 break
             await asyncio.sleep(1.0)
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -710,6 +710,11 @@
     def on_report(self, worker, answer):
         """A worker's report was answered, or not."""
         status = "none" if answer is None else str(answer[0])
+        orders = 0 if answer is None else answer[1].count(b'"verb"')
+        self.note(
+            f"worker {worker.name} reports to {worker.label} session={worker.tenure} number={worker.counter} "
+            f"tasks={len(worker.tasks)} answer={status} commands={orders}"
+        )
         self.count("report " + status)
         self.last_report_200 = now() if status == "200" else getattr(self, "last_report_200", 0.0)
 
