Logs: memory held, inherited tasks of jobs and shards, tasks that the barrier releases

Change: `process state=memory_changed` (resident memory, at the start and after each change by a tenth of the limit), `job_shard state=entered` (jobs, inherited and waiting tasks once a view's jobs are built), `barrier state=released` (tasks requeued at once), and `start_limit` and `inherited_tasks` in `job=J state=inherited`.

--- a/alderbridge/controller/process.py
+++ b/alderbridge/controller/process.py
@@ -17,6 +17,7 @@
 from alderbridge.controller.job_queries import JobQueries, JobQueryResponder
 from alderbridge.controller.job_records import JobRecordReader
 from alderbridge.controller.loops.machine_types import MachineTypesLoop
+from alderbridge.controller.loops.memory import MemoryLoop
 from alderbridge.controller.loops.records import RecordsLoop
 from alderbridge.controller.loops.replica import ReplicaLoop
 from alderbridge.controller.loops.rounds import RoundLoop
@@ -118,6 +119,7 @@
             RoundLoop(core, prober).keep_rounds,
             MachineTypesLoop(core, store, cloud, rate_limit).keep_types,
             ScalingLoop(core, cloud, rate_limit, self.dispatch_effects).keep_machines,
+            MemoryLoop(self.platform.settings.limits.memory_mb).keep_memory_logged,
         ]
 
     async def run(self) -> None:
--- a/alderbridge/controller/view_entry.py
+++ b/alderbridge/controller/view_entry.py
@@ -135,10 +135,13 @@
         if log.isEnabledFor(logging.DEBUG):
             unfinished = self.dependencies.graph.unfinished(name)
             log.debug(
-                "job=%s state=inherited done=%d tasks=%d unfinished_dependencies=%d first=%s",
+                "job=%s state=inherited done=%d tasks=%d start_limit=%d inherited_tasks=%d unfinished_dependencies=%d "
+                "first=%s",
                 name,
                 job.done.count,
                 job.spec.tasks,
+                job.start_limit,
+                len(job.inherited_tasks),
                 len(unfinished),
                 unfinished[0] if unfinished else "",
             )
--- a/alderbridge/jobs/inherited_tasks.py
+++ b/alderbridge/jobs/inherited_tasks.py
@@ -35,7 +35,18 @@
 
     def release(self) -> None:
         """Requeue the inherited tasks that no machine of the barrier may still run."""
+        job_count, task_count = 0, 0
         for job in self.jobs.values():
             if job.inherited_tasks and not self.barrier.may_run_tasks_of(job.spec):
+                job_count += 1
+                task_count += len(job.inherited_tasks)
                 for index in list(job.inherited_tasks):
                     job.requeue(index)
+        if job_count:
+            log.info(
+                "barrier state=released fencing_token=%d jobs=%d tasks=%d machines=%d",
+                self.fencing_token,
+                job_count,
+                task_count,
+                len(self.barrier),
+            )
--- a/alderbridge/jobs/shard.py
+++ b/alderbridge/jobs/shard.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterable, Mapping
 
 from alderbridge.jobs.grants import TaskGranter
@@ -20,6 +21,8 @@
 from alderbridge.protocol.wire import MachineRecord
 from alderbridge.settings import Team
 
+log = logging.getLogger("jobs")
+
 Send = Callable[[str, Message], int]  # (member's label, message) -> sequence of the message in its channel
 
 
@@ -72,8 +75,21 @@
         self.usage.reset_allocations()
         self.job_calendars.reset()
         self._requeue_unrecorded(machines)
+        self._log_view(fencing_token, machines)
         self.inherited.release()
 
+    def _log_view(self, fencing_token: int, machines: Mapping[str, MachineRecord]) -> None:
+        """Log the size of the shard: what memory and time after a change of view follow."""
+        log.info(
+            "job_shard state=entered fencing_token=%d jobs=%d running=%d inherited_tasks=%d waiting=%d machines=%d",
+            fencing_token,
+            len(self.jobs),
+            sum(len(job.runs) for job in self.jobs.values()),
+            sum(len(job.inherited_tasks) for job in self.jobs.values()),
+            sum(job.waiting for job in self.jobs.values()),
+            len(machines),
+        )
+
     def _replace_jobs(self, jobs: dict[str, Job]) -> None:
         for job in self.jobs.values():
             job.tally = None
--- a/tests/test_controller_parts.py
+++ b/tests/test_controller_parts.py
@@ -1,5 +1,7 @@
 """Components around a controller's core: request routing, and the loops' handling of cloud errors."""
 
+import logging
+
 import curio
 import pytest
 from controller_clock import patch_now
@@ -7,6 +9,7 @@
 
 from alderbridge.cloud import CloudError, NoCapacityError
 from alderbridge.controller.loops.machine_types import MachineTypesLoop
+from alderbridge.controller.loops.memory import MemoryLoop, resident_memory_mb
 from alderbridge.controller.loops.scaling import ScalingLoop
 from alderbridge.controller.process import Controller
 from alderbridge.settings import Tuning
@@ -102,3 +105,18 @@
     )
     with pytest.raises(LoopStopped):
         run_until_second_sleep(monkeypatch, loop.keep_types)
+
+
+def test_memory_is_logged_only_when_it_has_changed_by_a_share_of_the_limit(caplog):
+    loop = MemoryLoop(200.0)
+    with caplog.at_level(logging.INFO):
+        for resident_mb in (30.0, 49.0, None, 50.0, 69.0, 120.0, 101.0, 100.0):
+            loop.observe(resident_mb)
+    assert [record.args for record in caplog.records] == [(30.0, 200.0), (50.0, 200.0), (120.0, 200.0), (100.0, 200.0)]
+
+
+def test_memory_of_this_process_is_readable_and_a_platform_without_it_is_not_an_error(tmp_path):
+    assert 1.0 < resident_memory_mb() < 100_000.0
+    assert resident_memory_mb(tmp_path / "missing") is None
+    (tmp_path / "statm").write_text("other\n")
+    assert resident_memory_mb(tmp_path / "statm") is None
