Jobs: inherited tasks are kept as ranges, so that a failover of large arrays fits into memory

What callers saw: a controller that crashed with 44 arrays of 100,000 tasks of a team without a limit was killed for its memory after each start, 14 times in 70 s.

Cause: a job whose record is inherited held each task that is not done below its start limit as an element of a set, 7 MB for an array. With no team limit the start limit covers all tasks. So memory followed what was submitted.

Change: `IndexRanges` is a `MutableSet`, and holds the inherited tasks: the gaps between the done ranges. It holds as many ranges as tasks are on machines or done out of order.

--- a/alderbridge/jobs/job_tasks.py
+++ b/alderbridge/jobs/job_tasks.py
@@ -40,7 +40,7 @@
         self.spec = record.spec
         self.state = record.state
         self.done = IndexRanges(record.done)
-        self.inherited_tasks = set() if never_started else {i for i in range(record.start_limit) if i not in self.done}
+        self.inherited_tasks = self.done.missing_below(0 if never_started else record.start_limit)
         self.next_index = 0 if never_started else record.start_limit  # no task from this index on was ever granted
         self.requeued: list[int] = []  # heap of the waiting tasks below ``next_index``
         self.runs: dict[int, TaskRun] = {}
--- /dev/null
+++ b/tests/test_large_arrays.py
@@ -0,0 +1,97 @@
+"""Large job arrays: what a controller holds and does follows the machines, not the number of submitted tasks."""
+
+import random
+import tracemalloc
+
+import msgspec
+import pytest
+from test_late_transactions import SPEC, SteppedController
+
+from alderbridge.jobs.index_ranges import IndexRanges
+from alderbridge.jobs.job import Job
+from alderbridge.jobs.record import JobState, Record
+from alderbridge.jobs.shard import JobShard
+from alderbridge.jobs.task_states import TaskRun, TaskState
+from alderbridge.membership.records import View
+from alderbridge.protocol.keys import JOBS, VIEW
+from alderbridge.protocol.wire import MachineRecord
+
+ARRAYS = 6
+SMALL_TASKS, LARGE_TASKS = 1_000, 100_000  # the platform allows 100,000 tasks in a job
+MACHINE = "n-000001"
+
+
+def array_record(number: int, tasks: int, done=()) -> Record:
+    """An active array of which each task may have been started, as any version may have stored it."""
+    spec = msgspec.structs.replace(SPEC, id=f"wk-{number:06d}", tasks=tasks)
+    return Record(JobState.ACTIVE, "host-0", 0.0, tasks, list(done), spec)
+
+
+def failover_of_arrays(tasks: int) -> float:
+    """Peak of the memory in bytes while a controller inherits arrays."""
+    alone = SteppedController("host-1")
+    for number in range(ARRAYS):
+        record = array_record(number, tasks)
+        alone.store.commit({}, {JOBS + record.spec.id: record})
+    alone.follow()
+    alone.add_machine(MACHINE)
+    heir = alone.other_member("host-1")
+    alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.lease_ids["host-1"]})})
+    tracemalloc.start()
+    try:
+        heir.follow()
+        jobs = list(heir.core.job_shard.jobs.values())
+        assert [len(job.inherited_tasks) for job in jobs] == [tasks] * ARRAYS
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+# A controller that inherited large arrays went over its memory limit and was killed after each start.
+def test_memory_of_a_failover_does_not_follow_the_number_of_tasks_of_inherited_arrays():
+    small, large = failover_of_arrays(SMALL_TASKS), failover_of_arrays(LARGE_TASKS)
+    assert large <= 2 * small, f"inheriting {LARGE_TASKS} tasks an array takes {large} bytes, {SMALL_TASKS}: {small}"
+
+
+def released_array(tasks: int, machines=()) -> tuple[JobShard, Job]:
+    """A shard with one inherited array whose tasks are all waiting unless they may be on ``machines``."""
+    job_shard = JobShard([], lambda label, message: 1, 4096)
+    record = array_record(1, tasks)
+    job = Job(record, 1, 0.0, 0.0)
+    recorded = {name: MachineRecord("x", "small", "a") for name in machines}
+    job_shard.enter_view(5, {record.spec.id: job}, recorded)
+    return job_shard, job
+
+
+@pytest.mark.parametrize("state", (JobState.ACTIVE, JobState.ABORTED))
+def test_inherited_tasks_wait_again_only_once_the_barrier_lifts_and_only_while_their_job_is_active(state):
+    job_shard, job = released_array(SMALL_TASKS, [MACHINE])
+    job.adopt(7, TaskRun(MACHINE, "a", 1, 0, TaskState.RUNNING, 1.0))
+    job.finish_task(3, 1.0)
+    assert len(job.inherited_tasks) == SMALL_TASKS - 2 and not job.waiting and job.next_task(1.0) is None
+    if state is JobState.ABORTED:
+        job.abort(1.0)
+    job_shard.inherited.on_machine_reconciled(MACHINE)
+    assert not job.inherited_tasks and list(job.runs) == [7]
+    assert job.waiting == (SMALL_TASKS - 2 if state is JobState.ACTIVE else 0)
+    assert job_shard.tally.teams["free"][0] == pytest.approx(SPEC.cpus), "only the adopted task is used quota"
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_index_ranges_hold_the_same_numbers_as_a_set(seed):
+    rng = random.Random(seed)
+    limit = rng.choice((6, 40))
+    ranges, expected = IndexRanges(), set()
+    for _ in range(400):
+        number = rng.randrange(limit)
+        if rng.random() < 0.5:
+            ranges.add(number)
+            expected.add(number)
+        else:
+            ranges.discard(number)
+            expected.discard(number)
+        assert list(ranges) == sorted(expected) and len(ranges) == ranges.count == len(expected)
+        assert all(index in ranges for index in expected) and number in ranges or number not in expected
+        assert all(high < low for (_, high), (low, _) in zip(ranges.ranges, ranges.ranges[1:], strict=False))
+        below = rng.randrange(limit + 2)
+        assert set(ranges.missing_below(below)) == set(range(below)) - expected
