Jobs: the start limit of a large array stays within what machines have shown to take

What callers saw: after a failover, nothing of a large array of a team without a limit starts before every machine that it may use is accounted for: with dead machines a lease and a second, beside free ones.

Cause: `JobQueue.rows` asks for a start limit of all tasks that the job is offered, and a team without a limit is offered all that wait.

Evidence: two controllers over a simulated store, an array of 100,000 tasks of which none has started, then a view of the second alone: 0 tasks wait, all are inherited.

Change: for more tasks than a step, the start limit is raised by a step whenever less than half of one is left. A step is 4,096 tasks, or as many as the job has on machines. For smaller arrays nothing changes. Stored start limits are kept.

Result: test_tasks_of_a_large_array_that_never_started_wait_for_no_machine_after_a_failover failed before ("0 > 50,000"), and passes. test_a_large_array_is_granted_in_full_with_few_writes_of_its_start_limit: at most 48 start limits for 100,000 tasks, started or finished.

--- a/alderbridge/constants.py
+++ b/alderbridge/constants.py
@@ -53,6 +53,8 @@
 UNUSED_RATE_TTL_S = 3.0  # other members may use a member's unused write rate this long after it was reported
 # tasks that are recorded in advance as possibly started: saves a write for each start
 START_LIMIT_HEADROOM_TASKS = 256
+# tasks of a large array that may be recorded so at a time, or as many as are on machines if these are more
+START_LIMIT_STEP_TASKS = 4096
 
 # Queues that job shards publish
 MAX_QUEUE_ROWS = 400  # maximum number of waiting jobs that a job shard publishes; sizes some caches, too
--- a/alderbridge/jobs/job.py
+++ b/alderbridge/jobs/job.py
@@ -142,7 +142,17 @@
             self.tally.lagging[self.spec.id] = self
 
     def raise_start_limit(self, count: int, now: float) -> None:
-        """Request a stored start limit that allows ``count`` more tasks and ``START_LIMIT_HEADROOM_TASKS`` beyond."""
+        """Request a stored start limit that allows ``count`` more tasks and ``START_LIMIT_HEADROOM_TASKS`` beyond.
+
+        It stays within what machines have shown to take: tasks below the start limit wait for the recovery barrier
+        after a failover, also those that never started. So a large array's limit is raised in steps, each time when
+        less than half a step is left.
+        """
+        step = max(constants.START_LIMIT_STEP_TASKS, len(self.runs))
+        if count > step:
+            if self.requested_start_limit - self.next_index > step // 2:
+                return
+            count = step
         limit = min(self.spec.tasks, self.next_index + count + constants.START_LIMIT_HEADROOM_TASKS)
         if limit > self.requested_start_limit:
             self.requested_start_limit = limit
--- a/tests/test_large_arrays.py
+++ b/tests/test_large_arrays.py
@@ -8,6 +8,7 @@
 import pytest
 from test_late_transactions import SPEC, SteppedController
 
+from alderbridge import constants
 from alderbridge.jobs.index_ranges import IndexRanges
 from alderbridge.jobs.job import Job
 from alderbridge.jobs.record import JobState, Record
@@ -94,6 +95,52 @@
     assert large <= 5 * small, f"{large:.4f} s with {LARGE_TASKS} tasks, {small:.4f} s with {SMALL_TASKS}"
 
 
+def submitted_array() -> tuple[SteppedController, Job]:
+    """A controller with one machine, and a large array that it has just accepted."""
+    alone = SteppedController("host-1")
+    alone.add_machine(MACHINE)
+    return alone, alone.submit_job(msgspec.structs.replace(SPEC, tasks=LARGE_TASKS))
+
+
+# After a failover all tasks of a large array waited for the recovery barrier, though most had never started.
+def test_tasks_of_a_large_array_that_never_started_wait_for_no_machine_after_a_failover():
+    alone, job = submitted_array()
+    heir = alone.other_member("host-1")
+    alone.advance(5.0)
+    alone.write_due_records()
+    assert job.start_limit > constants.START_LIMIT_HEADROOM_TASKS, "its start limit is ahead of what has started"
+    heir.t = alone.t
+    alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.lease_ids["host-1"]})})
+    heir.follow()
+    inherited = heir.core.job_shard.jobs[job.spec.id]
+    assert MACHINE in heir.core.job_shard.inherited.barrier, "the machine has not been heard under this view"
+    assert inherited.waiting > LARGE_TASKS / 2, "most of its tasks were never started"
+    assert len(inherited.inherited_tasks) == job.start_limit < 2 * constants.START_LIMIT_STEP_TASKS
+    assert inherited.waiting == LARGE_TASKS - job.start_limit
+
+
+@pytest.mark.parametrize("finishes", (False, True))
+def test_a_large_array_is_granted_in_full_with_few_writes_of_its_start_limit(finishes):
+    alone, job = submitted_array()
+    start_limits = {job.start_limit}
+    granted = 0
+    while granted < LARGE_TASKS:
+        alone.advance(0.5)
+        alone.write_due_records()
+        start_limits.add(job.start_limit)
+        before = granted
+        for _ in range(1_000):
+            index = job.next_task(alone.t)
+            if index is None:
+                break
+            alone.start_task(job, MACHINE, index)
+            granted += 1
+            if finishes:
+                job.finish_task(index, alone.t)
+        assert granted > before, "a start limit is ahead of the grants"
+    assert job.waiting == 0 and len(start_limits) <= 2 * LARGE_TASKS / constants.START_LIMIT_STEP_TASKS
+
+
 @pytest.mark.parametrize("state", (JobState.ACTIVE, JobState.ABORTED))
 def test_inherited_tasks_wait_again_only_once_the_barrier_lifts_and_only_while_their_job_is_active(state):
     job_shard, job = released_array(SMALL_TASKS, [MACHINE])
