Jobs: the number of done tasks of a record is counted in one place

The status of a job from the store and the replica's remaining tasks each summed the record's ranges.

--- a/alderbridge/controller/users_api.py
+++ b/alderbridge/controller/users_api.py
@@ -141,7 +141,7 @@
         if has_dependencies and not self.core.local_jobs.is_certainly_pending(job, now()):
             # A dependency may be aborted, which aborts this job, and another controller may have reported that.
             return responses.unavailable("the state of the job's dependencies cannot be determined here yet")
-        return responses.ok(wire.job_status_body(job, "pending", sum(end - begin for begin, end in record.done), 0))
+        return responses.ok(wire.job_status_body(job, "pending", record.done_count, 0))
 
 
 class SubmissionHandler:
--- a/alderbridge/jobs/record.py
+++ b/alderbridge/jobs/record.py
@@ -34,3 +34,8 @@
     dependency_digest: str = msgspec.field(name="more", default="")
     ready_at: float = 0.0  # time of day when the last dependency was done; the spec then omits the dependencies
     done_at: float = NOT_ENDED  # time of day when the last task was done
+
+    @property
+    def done_count(self) -> int:
+        """Number of tasks that the record has as done."""
+        return sum(end - start for start, end in self.done)
--- a/alderbridge/state/replica.py
+++ b/alderbridge/state/replica.py
@@ -182,7 +182,7 @@
             if current is None:
                 bisect.insort(self.jobs_by_submission, (record.submitted_at, job))
             self.active_jobs[job] = (record, revision)
-            self.remaining_tasks[job] = record.spec.tasks - sum(stop - start for start, stop in record.done)
+            self.remaining_tasks[job] = record.spec.tasks - record.done_count
 
     def _observe_end(self, job: str, record: Record) -> None:
         self.ended[job] = record.state
