--- a/tests/test_late_start_commands.py
+++ b/tests/test_late_start_commands.py
@@ -11,8 +11,8 @@
 import msgspec
 import pytest
 from simulation import InvariantViolation, SimWorker, World
+from test_concurrent_faults import accept_duplicate_heartbeats
 
-from alderbridge.machines.heartbeats import HeartbeatHandler
 from alderbridge.protocol import wire
 from alderbridge.protocol.messages import Frame, TaskGrant
 from alderbridge.transport.channel import Channel
@@ -152,19 +152,7 @@
     monkeypatch.setattr(Channel, "receive", receive_again)
 
 
-def accept_copied_heartbeats(monkeypatch) -> None:
-    """Break the order of heartbeats: each copy counts as a new one."""
-    on_heartbeat = HeartbeatHandler.on_heartbeat
-
-    def on_any_heartbeat(self, heartbeat, now):
-        if heartbeat.machine in self.machines:
-            self.machines[heartbeat.machine].last_sequence = (0, 0)
-        return on_heartbeat(self, heartbeat, now)
-
-    monkeypatch.setattr(HeartbeatHandler, "on_heartbeat", on_any_heartbeat)
-
-
-@pytest.mark.parametrize("guard", (accept_copied_frames, accept_copied_heartbeats))
+@pytest.mark.parametrize("guard", (accept_copied_frames, accept_duplicate_heartbeats))
 def test_a_start_by_a_late_copy_is_noticed_without_the_guard(monkeypatch, guard):
     guard(monkeypatch)
     for seed in range(20):
