--- a/tests/test_large_arrays.py
+++ b/tests/test_large_arrays.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from simulation import World
 from test_late_transactions import SPEC, SteppedController
 
 from alderbridge import constants
@@ -141,6 +142,18 @@
     assert job.waiting == 0 and len(start_limits) <= 2 * LARGE_TASKS / constants.START_LIMIT_STEP_TASKS
 
 
+# A start limit that is raised in steps must be ahead of the grants, and cover all of them, whoever fails.
+@pytest.mark.parametrize("seed", range(5000, 5004))
+def test_invariants_hold_while_start_limits_are_raised_in_steps(monkeypatch, seed):
+    monkeypatch.setattr(constants, "START_LIMIT_HEADROOM_TASKS", 2)
+    monkeypatch.setattr(constants, "START_LIMIT_STEP_TASKS", 6)
+    world = World(
+        seed, jobs=24, random_faults=False, nodes=5, machines=24, large_jobs=True, total_failures=2, slow_restarts=True
+    )
+    world.run(200.0)
+    assert world.task_starts > 500
+
+
 @pytest.mark.parametrize("state", (JobState.ACTIVE, JobState.ABORTED))
 def test_inherited_tasks_wait_again_only_once_the_barrier_lifts_and_only_while_their_job_is_active(state):
     job_shard, job = released_array(SMALL_TASKS, [MACHINE])
