--- a/tests/test_large_arrays.py
+++ b/tests/test_large_arrays.py
@@ -24,10 +24,10 @@
 MACHINE = "n-000001"
 
 
-def array_record(number: int, tasks: int, done=()) -> Record:
+def array_record(number: int, tasks: int) -> Record:
     """An active array of which each task may have been started, as any version may have stored it."""
     spec = msgspec.structs.replace(SPEC, id=f"wk-{number:06d}", tasks=tasks)
-    return Record(JobState.ACTIVE, "host-0", 0.0, tasks, list(done), spec)
+    return Record(JobState.ACTIVE, "host-0", 0.0, tasks, [], spec)
 
 
 def failover_of_arrays(tasks: int) -> tuple[int, int]:
@@ -38,18 +38,18 @@
         alone.store.commit({}, {JOBS + record.spec.id: record})
     alone.follow()
     alone.add_machine(MACHINE)
-    heir = alone.other_member("host-1")
+    successor = alone.other_member("host-1")
     alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.lease_ids["host-1"]})})
     tracemalloc.start()
     try:
-        heir.follow()
-        jobs = list(heir.core.job_shard.jobs.values())
+        successor.follow()
+        jobs = list(successor.core.job_shard.jobs.values())
         assert [len(job.inherited_tasks) for job in jobs] == [tasks] * ARRAYS
         inheriting_bytes = tracemalloc.get_traced_memory()[1]
         tracemalloc.reset_peak()
-        heir.heartbeat(MACHINE, 2)
+        successor.heartbeat(MACHINE, 2)
         assert [job.waiting for job in jobs] == [tasks] * ARRAYS and not any(job.inherited_tasks for job in jobs)
-        heir.advance(1.0)
+        successor.advance(1.0)
         return inheriting_bytes, tracemalloc.get_traced_memory()[1]
     finally:
         tracemalloc.stop()
@@ -106,15 +106,15 @@
 # After a failover all tasks of a large array waited for the recovery barrier, though most had never started.
 def test_tasks_of_a_large_array_that_never_started_wait_for_no_machine_after_a_failover():
     alone, job = submitted_array()
-    heir = alone.other_member("host-1")
+    successor = alone.other_member("host-1")
     alone.advance(5.0)
     alone.write_due_records()
     assert job.start_limit > constants.START_LIMIT_HEADROOM_TASKS, "its start limit is ahead of what has started"
-    heir.t = alone.t
+    successor.t = alone.t
     alone.store.commit({}, {VIEW: View("host-1", {"host-1": alone.lease_ids["host-1"]})})
-    heir.follow()
-    inherited = heir.core.job_shard.jobs[job.spec.id]
-    assert MACHINE in heir.core.job_shard.inherited.barrier, "the machine has not been heard under this view"
+    successor.follow()
+    inherited = successor.core.job_shard.jobs[job.spec.id]
+    assert MACHINE in successor.core.job_shard.inherited.barrier, "the machine has not been heard under this view"
     assert inherited.waiting > LARGE_TASKS / 2, "most of its tasks were never started"
     assert len(inherited.inherited_tasks) == job.start_limit < 2 * constants.START_LIMIT_STEP_TASKS
     assert inherited.waiting == LARGE_TASKS - job.start_limit
