Tests: the live workers of a simulated world are listed in one place

The test of late copies had written again what the one-zone world and the world of test_machine_proofs each had. It is a method of the simulated cloud now.

--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -35,6 +35,10 @@
         if name in self.rented_kinds:
             self.machines[name] = SimWorker(self, name, kind)
 
+    def live_workers(self) -> list[SimWorker]:
+        """The workers of all machines that are up."""
+        return [worker for worker in self.machines.values() if worker is not None and worker.alive]
+
     def terminate(self, names: list[str]) -> None:
         for name in names:
             worker = self.machines.get(name)
--- a/tests/simulation/one_zone.py
+++ b/tests/simulation/one_zone.py
@@ -95,6 +95,3 @@
             workers = [worker for worker in workers if worker.kind.zone == zone]
         for worker in self.rng.sample(workers, math.ceil(len(workers) * self.rng.uniform(0.5, 1.0))):
             worker.cut_until = worker.heartbeat_held_until = self.t + length
-
-    def live_workers(self) -> list:
-        return [worker for worker in self.machines.values() if worker is not None and worker.alive]
--- a/tests/test_late_start_commands.py
+++ b/tests/test_late_start_commands.py
@@ -100,9 +100,6 @@
     def copy_delay(self) -> float:
         return self.rng.choice([0.5, 4.0, LATEST_COPY_S]) * self.rng.random()
 
-    def live_workers(self) -> list[CopiedWorker]:
-        return [worker for worker in self.machines.values() if worker is not None and worker.alive]
-
     def crash_one(self) -> None:
         self.crash_and_restart(self.controllers[self.rng.choice(self.labels)], self.rng.uniform(0.1, 0.9))
 
--- a/tests/test_machine_handover.py
+++ b/tests/test_machine_handover.py
@@ -375,7 +375,7 @@
         self.after(0.05, self.replay_heartbeats)
 
     def block_outbound(self, share, for_s):
-        for worker in self.rng.sample(self.workers(), int(len(self.workers()) * share)):
+        for worker in self.rng.sample(self.live_workers(), int(len(self.live_workers()) * share)):
             worker.outbound_blocked_until = self.t + for_s
             if self.rng.random() < 0.8:
                 worker.responses_delayed_until = self.t + for_s
@@ -581,7 +581,7 @@
 def test_a_machine_whose_outbound_traffic_is_restored_gets_tasks():
     world = OutboundBlockedWorld(8, jobs=20)
     world.run(50.0)
-    blocked = [worker.name for worker in world.workers()]
+    blocked = [worker.name for worker in world.live_workers()]
     for name in blocked:
         world.machines[name].outbound_blocked_until = world.t + 50.0
     world.run(60.0)
--- a/tests/test_machine_proofs.py
+++ b/tests/test_machine_proofs.py
@@ -290,9 +290,6 @@
             estimate_s=spec.estimate_s and self.rng.uniform(40.0, 120.0),
         )
 
-    def workers(self):
-        return [worker for worker in self.machines.values() if worker is not None and worker.alive]
-
     def inherited(self):
         """Number of inherited tasks of unknown state, at all job owners."""
         return sum(
@@ -348,7 +345,7 @@
     """Guards against run orders that are resent with each response for as long as a machine is inbound blocked."""
     world = InboundBlockedWorld(3, jobs=40)
     world.run(45.0)
-    for worker in world.rng.sample(world.workers(), len(world.workers()) // 2):
+    for worker in world.rng.sample(world.live_workers(), len(world.live_workers()) // 2):
         worker.inbound_blocked_until = world.t + 120.0
     granted_since = {}
     while world.t < 150.0:
@@ -738,7 +735,7 @@
             ]
             for sim in is_leader:
                 world.crash_and_restart(sim, (0.2, 3.0)[number % 2])
-            for worker in world.rng.sample(world.workers(), len(world.workers()) // 4):
+            for worker in world.rng.sample(world.live_workers(), len(world.live_workers()) // 4):
                 worker.inbound_blocked_until = world.t + world.rng.uniform(5.0, 40.0)
 
         world.after(20.0 + 20.0 * number, fault)
